Build the thin path: daemon, stand-in, operator tool and demo

Cause: there was nothing. The path from a caller over an entry VM, the program's owner and a gatekeeper to a backend server had to exist before any decision could be measured.

Change: the control core (membership, shards, ledger, calls, gatekeepers, catalogue, gossip), the shell around it, stand-ins for the table service, engines and services, and a demo of one program.

Ruled out while getting there: passing closures as temporaries in co_await expressions.

--- /dev/null
+++ b/callers/caller_api.cpp
@@ -0,0 +1,264 @@
+#include "callers/caller_api.h"
+
+#include "backends/backend_client.h"
+#include "callers/answers.h"
+#include "core/logging.h"
+#include "net/http_client.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace boragepath {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t ChannelDepth = 16;
+constexpr const char *ModelPath = "/v1/chat/completions";
+constexpr const char *ServicePrefix = "/v1/services/";
+constexpr const char *ProgramPrefix = "/v1/programs/";
+constexpr const char *AddressPath = "/v1/address";
+constexpr double SecondsPerMilli = 0.001;
+
+Refusal refusalOf(Verdict verdict, Reason reason, std::string message, Milliseconds retryAfter)
+{
+    Refusal refusal;
+    refusal.verdict = verdict;
+    refusal.reason = reason;
+    refusal.message = std::move(message);
+    refusal.retryAfter = retryAfter;
+    return refusal;
+}
+
+/** Fields of an HTTP message that belong to one connection only. */
+bool isHopField(const std::string &name)
+{
+    for (const char *hop : {"Connection", "Transfer-Encoding", "Content-Length", "Host"}) {
+        if (absl::EqualsIgnoreCase(name, hop)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+HttpRequest relayedRequest(const HttpRequest &request, const VmId &vm)
+{
+    HttpRequest result = request;
+    std::erase_if(result.fields, [](const HttpField &field) { return isHopField(field.name); });
+    result.fields.push_back({"Boragepath-Relayed", vm.value()});
+    return result;
+}
+
+} // namespace
+
+CallerApi::CallerApi(CallGateway &gateway, Metrics &metrics)
+    : m_gateway(gateway)
+    , m_metrics(metrics)
+{ }
+
+bool CallerApi::handles(const HttpRequest &request) const
+{
+    return absl::StartsWith(request.target, "/v1/");
+}
+
+asio::awaitable<void> CallerApi::handle(const HttpRequest &request, HttpResponder &responder)
+{
+    const std::string path = request.path();
+    if (request.method == "GET" && path == AddressPath) {
+        co_await handleAddress(request, responder);
+    } else if (request.method == "POST" && path == ModelPath) {
+        co_await handleCall(request, responder, parseModelCall(request));
+    } else if (request.method == "POST" && absl::StartsWith(path, ServicePrefix)) {
+        co_await handleCall(request, responder, parseServiceCall(request));
+    } else if (request.method == "DELETE" && absl::StartsWith(path, ProgramPrefix)) {
+        co_await handleEnd(request, responder);
+    } else {
+        Refusal refusal = refusalOf(Verdict::NotRun, Reason::UnknownPool,
+                                    "there is no such path or method", Milliseconds(0));
+        refusal.field = "path";
+        co_await responder.send(refusalResponse(refusal, CallNumber()));
+    }
+}
+
+asio::awaitable<void> CallerApi::handleAddress(const HttpRequest &request, HttpResponder &responder)
+{
+    const ProgramKey key{EntryName(request.query("entry")), ProgramId(request.query("program"))};
+    using Endpoints = std::vector<Endpoint>;
+    const ControlQuestion<Endpoints> question =
+        [key](Node &node, std::function<void(Endpoints)> done) { done(node.addressesFor(key)); };
+    const Endpoints endpoints = co_await askControl<Endpoints>(m_gateway, question);
+    json::array addresses;
+    for (const Endpoint &endpoint : endpoints) {
+        addresses.emplace_back(endpoint.text());
+    }
+    HttpResponse response;
+    response.fields.push_back({"Content-Type", "application/json"});
+    response.body = json::serialize(json::object{
+        {"addresses", std::move(addresses)},
+        {"ttl_ms", m_gateway.settings().addressTtl.count()},
+    });
+    co_await responder.send(response);
+}
+
+asio::awaitable<void> CallerApi::handleCall(const HttpRequest &request, HttpResponder &responder,
+                                            CallOrRefusal parsed)
+{
+    if (std::holds_alternative<Refusal>(parsed)) {
+        co_await responder.send(refusalResponse(std::get<Refusal>(parsed), CallNumber()));
+        co_return;
+    }
+    ParsedCall call = std::get<ParsedCall>(std::move(parsed));
+    auto channel = std::make_shared<CallChannel>(co_await asio::this_coro::executor, ChannelDepth);
+    const SteadyTime started = m_gateway.clock().now();
+    const CallHandle handle = m_gateway.submit(std::move(call.request), channel);
+    co_await followCall(request, responder, call.stream, handle, channel);
+    const Duration taken = m_gateway.clock().now() - started;
+    m_metrics.observe("boragepath_call_seconds",
+                      static_cast<double>(millisOf(taken)) * SecondsPerMilli);
+}
+
+asio::awaitable<void> CallerApi::followCall(const HttpRequest &request, HttpResponder &responder,
+                                            bool stream, CallHandle handle,
+                                            std::shared_ptr<CallChannel> channel)
+{
+    for (;;) {
+        CallEvent event = co_await channel->async_receive(asio::use_awaitable);
+        if (std::holds_alternative<BackendCall>(event)) {
+            BackendOutcome outcome =
+                co_await runBackend(std::get<BackendCall>(std::move(event)), stream, responder);
+            m_gateway.backendDone(handle, std::move(outcome));
+            continue;
+        }
+        if (std::holds_alternative<Endpoint>(event)) {
+            co_await relay(request, responder, std::get<Endpoint>(event));
+            co_return;
+        }
+        co_await sendAnswer(std::get<CallAnswer>(event), stream, responder);
+        co_return;
+    }
+}
+
+asio::awaitable<BackendOutcome> CallerApi::runBackend(BackendCall call, bool stream,
+                                                      HttpResponder &responder)
+{
+    StreamEvents events;
+    if (stream && !call.isService) {
+        events = [&responder](const std::string &data) -> asio::awaitable<bool> {
+            if (!responder.streaming()) {
+                co_await responder.beginStream(streamHeader());
+            }
+            // A caller that is gone does not end the call: its record is kept for a retry.
+            co_await responder.chunk(eventText(data));
+            co_return true;
+        };
+    }
+    co_return co_await runBackendCall(std::move(call), m_gateway.clock(), std::move(events));
+}
+
+asio::awaitable<void> CallerApi::sendAnswer(const CallAnswer &answer, bool stream,
+                                            HttpResponder &responder)
+{
+    if (responder.streaming()) {
+        co_await responder.chunk(streamEnd(answer));
+        co_await responder.endStream();
+        co_return;
+    }
+    if (answer.refusal.has_value()) {
+        HttpResponse response = refusalResponse(*answer.refusal, answer.nextCall);
+        response.fields.push_back({"Boragepath-Owner", m_gateway.settings().callers.text()});
+        co_await responder.send(response);
+        co_return;
+    }
+    if (stream && !answer.turn.isService) {
+        co_await responder.beginStream(streamHeader());
+        co_await responder.chunk(streamEnd(answer));
+        co_await responder.endStream();
+        co_return;
+    }
+    HttpResponse response = resultResponse(answer);
+    response.fields.push_back({"Boragepath-Owner", m_gateway.settings().callers.text()});
+    co_await responder.send(response);
+}
+
+asio::awaitable<void> CallerApi::handleEnd(const HttpRequest &request, HttpResponder &responder)
+{
+    const ProgramKey key{EntryName(request.valueOf("Boragepath-Entry")),
+                         ProgramId(request.path().substr(std::string(ProgramPrefix).size()))};
+    if (!isPlainId(key.entry.value()) || !isPlainId(key.program.value())) {
+        Refusal refusal =
+            refusalOf(Verdict::NotRun, Reason::BadRequest,
+                      "Boragepath-Entry and the program id are required", Milliseconds(0));
+        refusal.field = "Boragepath-Entry";
+        co_await responder.send(refusalResponse(refusal, CallNumber()));
+        co_return;
+    }
+    auto channel = std::make_shared<CallChannel>(co_await asio::this_coro::executor, ChannelDepth);
+    m_gateway.endProgram(key, bearerKeyOf(request), !request.valueOf("Boragepath-Relayed").empty(),
+                         channel);
+    CallEvent event = co_await channel->async_receive(asio::use_awaitable);
+    if (std::holds_alternative<Endpoint>(event)) {
+        co_await relay(request, responder, std::get<Endpoint>(event));
+        co_return;
+    }
+    const CallAnswer &answer = std::get<CallAnswer>(event);
+    if (answer.refusal.has_value() && answer.refusal->verdict != Verdict::Ran) {
+        co_await responder.send(refusalResponse(*answer.refusal, CallNumber()));
+        co_return;
+    }
+    HttpResponse response;
+    response.fields.push_back({"Content-Type", "application/json"});
+    response.body = R"({"ended":true})";
+    co_await responder.send(response);
+}
+
+asio::awaitable<void> CallerApi::relay(const HttpRequest &request, HttpResponder &responder,
+                                       Endpoint owner)
+{
+    HttpSink sink;
+    std::string plainBody;
+    bool begun = false;
+    HttpResponse header;
+    sink.onHeader = [&](const HttpResponse &received) -> asio::awaitable<bool> {
+        header = received;
+        std::erase_if(header.fields, [](const HttpField &field) { return isHopField(field.name); });
+        header.fields.push_back({"Boragepath-Owner", owner.text()});
+        if (received.valueOf("Content-Type") == "text/event-stream") {
+            begun = true;
+            co_await responder.beginStream(header);
+        }
+        co_return true;
+    };
+    sink.onData = [&](const std::string &data) -> asio::awaitable<bool> {
+        if (begun) {
+            co_return co_await responder.chunk(data);
+        }
+        plainBody += data;
+        co_return true;
+    };
+    const Settings &settings = m_gateway.settings();
+    const HttpResult result = co_await httpStream(owner, relayedRequest(request, settings.vm),
+                                                  settings.idleConnectionLimit, sink);
+    if (begun) {
+        if (!result.complete) {
+            CallAnswer lost;
+            lost.refusal = refusalOf(Verdict::MayHaveRun, Reason::RecordLost,
+                                     "the program's owner was lost", settings.leaseTerm);
+            co_await responder.chunk(streamEnd(lost));
+        }
+        co_await responder.endStream();
+        co_return;
+    }
+    if (result.complete) {
+        header.body = std::move(plainBody);
+        co_await responder.send(header);
+        co_return;
+    }
+    const Refusal refusal =
+        refusalOf(result.sent ? Verdict::MayHaveRun : Verdict::NotRun, Reason::NotOwner,
+                  "the program's owner could not be reached", Milliseconds(1'000));
+    co_await responder.send(refusalResponse(refusal, CallNumber()));
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/callers/caller_api.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "callers/call_gateway.h"
+#include "callers/call_parser.h"
+#include "core/metrics.h"
+#include "net/http_message.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace boragepath {
+
+/** The interface for callers: addresses, calls, the end of a program. */
+class CallerApi
+{
+public:
+    CallerApi(CallGateway &gateway, Metrics &metrics);
+
+    /** True if @p request is for this interface. */
+    bool handles(const HttpRequest &request) const;
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
+
+private:
+    boost::asio::awaitable<void> handleAddress(const HttpRequest &request,
+                                               HttpResponder &responder);
+    boost::asio::awaitable<void> handleCall(const HttpRequest &request, HttpResponder &responder,
+                                            CallOrRefusal parsed);
+    boost::asio::awaitable<void> handleEnd(const HttpRequest &request, HttpResponder &responder);
+    boost::asio::awaitable<void> followCall(const HttpRequest &request, HttpResponder &responder,
+                                            bool stream, CallHandle handle,
+                                            std::shared_ptr<CallChannel> channel);
+    boost::asio::awaitable<BackendOutcome> runBackend(BackendCall call, bool stream,
+                                                      HttpResponder &responder);
+    boost::asio::awaitable<void> sendAnswer(const CallAnswer &answer, bool stream,
+                                            HttpResponder &responder);
+    boost::asio::awaitable<void> relay(const HttpRequest &request, HttpResponder &responder,
+                                       Endpoint owner);
+
+    CallGateway &m_gateway;
+    Metrics &m_metrics;
+};
+
+} // namespace boragepath
--- /dev/null
+++ b/control/shared_feed.cpp
@@ -0,0 +1,88 @@
+#include "control/shared_feed.h"
+
+#include "control/records.h"
+
+#include <algorithm>
+
+namespace boragepath {
+
+namespace {
+
+constexpr Milliseconds RetryInterval{200};
+
+} // namespace
+
+SharedFeed::SharedFeed(const Clock &clock, TableReader &reader, Duration interval,
+                       std::function<void(const std::vector<Row> &)> take)
+    : m_clock(clock)
+    , m_reader(reader)
+    , m_interval(interval)
+    , m_take(std::move(take))
+{ }
+
+void SharedFeed::tick()
+{
+    if (!m_reading && m_clock.now() >= m_nextRead) {
+        read();
+    }
+}
+
+void SharedFeed::hint(RowRevision revision)
+{
+    if (revision <= m_newestRow) {
+        return;
+    }
+    if (m_reading) {
+        m_again = true;
+        return;
+    }
+    read();
+}
+
+void SharedFeed::confirm(Duration age)
+{
+    if (m_ready) {
+        m_freshAt = std::max(m_freshAt, m_clock.now() - age);
+    }
+}
+
+Duration SharedFeed::age() const
+{
+    return m_clock.now() - m_freshAt;
+}
+
+void SharedFeed::read()
+{
+    m_reading = true;
+    m_again = false;
+    const SteadyTime started = m_clock.now();
+    const std::uint64_t generation = m_generation;
+    m_reader.readOnce({keys::sharedPrefix(), m_position}, [=, this](const RangeOutcome &outcome) {
+        if (generation != m_generation) {
+            return;
+        }
+        m_reading = false;
+        if (!outcome.answered) {
+            m_nextRead = m_clock.now() + RetryInterval;
+            return;
+        }
+        m_nextRead = m_again ? m_clock.now() : started + m_interval;
+        m_freshAt = std::max(m_freshAt, started);
+        m_position = std::max(m_position, outcome.storeRevision);
+        for (const Row &row : outcome.rows) {
+            m_newestRow = std::max(m_newestRow, row.revision);
+        }
+        m_ready = true;
+        m_take(outcome.rows);
+    });
+}
+
+void SharedFeed::reset()
+{
+    m_generation += 1;
+    m_reading = false;
+    m_again = false;
+    m_nextRead = m_clock.now();
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/control/table_reader.cpp
@@ -0,0 +1,85 @@
+#include "control/table_reader.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace boragepath {
+
+namespace {
+
+constexpr Milliseconds FirstBackoff{20};
+constexpr Milliseconds LongestBackoff{1'000};
+constexpr int MaxBackoffDoublings = 6;
+
+} // namespace
+
+TableReader::TableReader(const Clock &clock, Effects &effects, std::uint64_t seed)
+    : m_clock(clock)
+    , m_effects(effects)
+    , m_random(seed)
+{ }
+
+void TableReader::send(std::uint64_t id, Pending &pending)
+{
+    pending.awaiting = true;
+    m_sent += 1;
+    m_effects.read(id, pending.request);
+}
+
+void TableReader::read(const RangeRequest &request, Done done)
+{
+    const std::uint64_t id = m_nextId++;
+    Pending &pending = m_pending[id];
+    pending.request = request;
+    pending.done = std::move(done);
+    send(id, pending);
+}
+
+void TableReader::readOnce(const RangeRequest &request, Done done)
+{
+    const std::uint64_t id = m_nextId++;
+    Pending &pending = m_pending[id];
+    pending.request = request;
+    pending.done = std::move(done);
+    pending.once = true;
+    send(id, pending);
+}
+
+void TableReader::onRange(std::uint64_t id, const RangeOutcome &outcome)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end() || !found->second.awaiting) {
+        return;
+    }
+    Pending &pending = found->second;
+    if (!outcome.answered && !pending.once) {
+        pending.awaiting = false;
+        const Milliseconds doubled =
+            FirstBackoff * (1 << std::min(pending.failures, MaxBackoffDoublings));
+        const Milliseconds ceiling = std::min(LongestBackoff, doubled);
+        std::uniform_int_distribution<std::int64_t> spread(ceiling.count() / 2, ceiling.count());
+        pending.nextSend = m_clock.now() + Milliseconds(spread(m_random));
+        pending.failures += 1;
+        return;
+    }
+    const Done done = std::move(pending.done);
+    m_pending.erase(found);
+    done(outcome);
+}
+
+void TableReader::tick()
+{
+    const SteadyTime now = m_clock.now();
+    for (auto &[id, pending] : m_pending) {
+        if (!pending.awaiting && now >= pending.nextSend) {
+            send(id, pending);
+        }
+    }
+}
+
+void TableReader::reset()
+{
+    m_pending.clear();
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/control/table_reader.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "control/effects.h"
+#include "control/table_types.h"
+#include "core/clock.h"
+
+#include <functional>
+#include <map>
+#include <random>
+
+namespace boragepath {
+
+/** Reads rows, and repeats a read that got no answer, with jittered backoff. */
+class TableReader
+{
+public:
+    using Done = std::function<void(const RangeOutcome &)>;
+
+    TableReader(const Clock &clock, Effects &effects, std::uint64_t seed);
+
+    /** Reads until answered; @p done then gets the rows. */
+    void read(const RangeRequest &request, Done done);
+    /** Reads once; @p done may get an outcome without an answer. */
+    void readOnce(const RangeRequest &request, Done done);
+    void onRange(std::uint64_t id, const RangeOutcome &outcome);
+    /** Repeats what is due. */
+    void tick();
+    /** Forgets all reads without calling back; for a new incarnation. */
+    void reset();
+    /** Reads sent, for metrics. */
+    std::uint64_t sent() const { return m_sent; }
+
+private:
+    struct Pending
+    {
+        RangeRequest request;
+        Done done;
+        bool once = false;
+        bool awaiting = false;
+        int failures = 0;
+        SteadyTime nextSend;
+    };
+
+    void send(std::uint64_t id, Pending &pending);
+
+    const Clock &m_clock;
+    Effects &m_effects;
+    std::mt19937_64 m_random;
+    std::uint64_t m_nextId = 1;
+    std::uint64_t m_sent = 0;
+    std::map<std::uint64_t, Pending> m_pending;
+};
+
+} // namespace boragepath
--- /dev/null
+++ b/core/verdict.cpp
@@ -0,0 +1,89 @@
+#include "core/verdict.h"
+
+namespace boragepath {
+
+namespace {
+
+constexpr unsigned HttpBadRequest = 400;
+constexpr unsigned HttpUnauthorized = 401;
+constexpr unsigned HttpForbidden = 403;
+constexpr unsigned HttpNotFound = 404;
+constexpr unsigned HttpConflict = 409;
+constexpr unsigned HttpGone = 410;
+constexpr unsigned HttpTooManyRequests = 429;
+constexpr unsigned HttpBadGateway = 502;
+constexpr unsigned HttpUnavailable = 503;
+
+/** What the caller interface says of one reason. */
+struct ReasonText
+{
+    Reason reason;
+    std::string_view name;
+    unsigned httpStatus;
+};
+
+constexpr ReasonText ReasonTexts[] = {
+    {Reason::None, "none", 200},
+    {Reason::BadRequest, "bad-request", HttpBadRequest},
+    {Reason::Unauthorized, "unauthorized", HttpUnauthorized},
+    {Reason::UnknownEntry, "unknown-entry", HttpUnauthorized},
+    {Reason::EntryDisabled, "entry-disabled", HttpForbidden},
+    {Reason::UnknownPool, "unknown-pool", HttpNotFound},
+    {Reason::WrongCallNumber, "wrong-call-number", HttpConflict},
+    {Reason::BodyMismatch, "body-mismatch", HttpConflict},
+    {Reason::GapTimeout, "gap-timeout", HttpConflict},
+    {Reason::ProgramEnded, "program-ended", HttpGone},
+    {Reason::RateLimit, "rate-limit", HttpTooManyRequests},
+    {Reason::ProgramsLimit, "programs-limit", HttpTooManyRequests},
+    {Reason::CallsLimit, "calls-limit", HttpForbidden},
+    {Reason::TokensLimit, "tokens-limit", HttpForbidden},
+    {Reason::BudgetExhausted, "budget-exhausted", HttpTooManyRequests},
+    {Reason::Overloaded, "overloaded", HttpUnavailable},
+    {Reason::NoReplica, "no-replica", HttpUnavailable},
+    {Reason::NotOwner, "not-owner", HttpUnavailable},
+    {Reason::NoLease, "no-lease", HttpUnavailable},
+    {Reason::StaleCatalogue, "stale-catalogue", HttpUnavailable},
+    {Reason::StoreUnavailable, "store-unavailable", HttpUnavailable},
+    {Reason::Leaving, "leaving", HttpUnavailable},
+    {Reason::OutcomeUnknown, "outcome-unknown", HttpConflict},
+    {Reason::BackendFailed, "backend-failed", HttpBadGateway},
+    {Reason::RecordLost, "record-lost", HttpUnavailable},
+    {Reason::Cancelled, "cancelled", HttpConflict},
+};
+
+const ReasonText &textOf(Reason reason)
+{
+    for (const ReasonText &text : ReasonTexts) {
+        if (text.reason == reason) {
+            return text;
+        }
+    }
+    return ReasonTexts[0];
+}
+
+} // namespace
+
+std::string_view verdictName(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::Ran:
+        return "ran";
+    case Verdict::NotRun:
+        return "not-run";
+    case Verdict::MayHaveRun:
+        return "may-have-run";
+    }
+    return "may-have-run";
+}
+
+std::string_view reasonName(Reason reason)
+{
+    return textOf(reason).name;
+}
+
+unsigned httpStatusOf(Reason reason)
+{
+    return textOf(reason).httpStatus;
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/net/http_client.cpp
@@ -0,0 +1,225 @@
+#include "net/http_client.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+
+#include <limits>
+
+namespace boragepath {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::redirect_error;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr unsigned HttpVersion11 = 11;
+constexpr Milliseconds ConnectLimit{1'000};
+constexpr std::size_t ReadSize = 16 * 1024;
+constexpr std::size_t MaxIdleConnections = 16;
+
+http::request<http::string_body> makeMessage(const Endpoint &endpoint, const HttpRequest &request,
+                                             bool keepAlive)
+{
+    http::request<http::string_body> message;
+    message.version(HttpVersion11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, endpoint.text());
+    for (const HttpField &field : request.fields) {
+        message.set(field.name, field.value);
+    }
+    message.keep_alive(keepAlive);
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+template <typename Message> HttpResponse headerOf(const Message &message)
+{
+    HttpResponse header;
+    header.status = message.result_int();
+    for (const auto &field : message) {
+        header.fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return header;
+}
+
+asio::awaitable<bool> connectStream(beast::tcp_stream &stream, const Endpoint &endpoint,
+                                    Milliseconds limit, HttpResult &result)
+{
+    beast::error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    stream.expires_after(std::min(limit, ConnectLimit));
+    if (!error) {
+        co_await stream.async_connect(tcp::endpoint(address, endpoint.port),
+                                      redirect_error(use_awaitable, error));
+    }
+    if (error) {
+        result.error = "connect: " + error.message();
+        co_return false;
+    }
+    stream.socket().set_option(tcp::no_delay(true), error);
+    co_return true;
+}
+
+template <typename Stream>
+asio::awaitable<void> exchange(Stream &stream, const http::request<http::string_body> &message,
+                               Milliseconds timeout, HttpResult &result)
+{
+    beast::error_code error;
+    beast::get_lowest_layer(stream).expires_after(timeout);
+    result.sent = true;
+    co_await http::async_write(stream, message, redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "write: " + error.message();
+        co_return;
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    co_await http::async_read(stream, buffer, parser, redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "read: " + error.message();
+        co_return;
+    }
+    result.response = headerOf(parser.get());
+    result.response.body = std::move(parser.get().body());
+    result.complete = true;
+}
+
+} // namespace
+
+asio::awaitable<HttpResult> httpCall(Endpoint endpoint, HttpRequest request, Milliseconds timeout)
+{
+    HttpResult result;
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    if (!co_await connectStream(stream, endpoint, timeout, result)) {
+        co_return result;
+    }
+    const auto message = makeMessage(endpoint, request, false);
+    co_await exchange(stream, message, timeout, result);
+    co_return result;
+}
+
+asio::awaitable<HttpResult> httpsCall(Endpoint endpoint, HttpRequest request, Milliseconds timeout)
+{
+    HttpResult result;
+    asio::ssl::context context(asio::ssl::context::tls_client);
+    beast::ssl_stream<beast::tcp_stream> stream(co_await asio::this_coro::executor, context);
+    if (!co_await connectStream(beast::get_lowest_layer(stream), endpoint, timeout, result)) {
+        co_return result;
+    }
+    beast::error_code error;
+    co_await stream.async_handshake(asio::ssl::stream_base::client,
+                                    redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "TLS: " + error.message();
+        co_return result;
+    }
+    const auto message = makeMessage(endpoint, request, false);
+    co_await exchange(stream, message, timeout, result);
+    co_return result;
+}
+
+asio::awaitable<HttpResult> httpStream(Endpoint endpoint, HttpRequest request,
+                                       Milliseconds silenceLimit, HttpSink sink,
+                                       std::function<bool()> maySend)
+{
+    HttpResult result;
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    if (!co_await connectStream(stream, endpoint, silenceLimit, result)) {
+        co_return result;
+    }
+    if (maySend && !maySend()) {
+        result.error = "too late to send";
+        co_return result;
+    }
+    const auto message = makeMessage(endpoint, request, false);
+    beast::error_code error;
+    stream.expires_after(silenceLimit);
+    result.sent = true;
+    co_await http::async_write(stream, message, redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "write: " + error.message();
+        co_return result;
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    stream.expires_after(silenceLimit);
+    co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "read: " + error.message();
+        co_return result;
+    }
+    result.response = headerOf(parser.get());
+    if (sink.onHeader && !co_await sink.onHeader(result.response)) {
+        result.error = "ended by the receiver";
+        co_return result;
+    }
+    std::string part(ReadSize, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        stream.expires_after(silenceLimit);
+        co_await http::async_read_some(stream, buffer, parser,
+                                       redirect_error(use_awaitable, error));
+        if (error && error != http::error::need_buffer) {
+            result.error = "read: " + error.message();
+            co_return result;
+        }
+        const std::size_t size = part.size() - parser.get().body().size;
+        if (size > 0 && !co_await sink.onData(part.substr(0, size))) {
+            result.error = "ended by the receiver";
+            co_return result;
+        }
+    }
+    result.complete = true;
+    co_return result;
+}
+
+struct HttpPool::Connections
+{
+    std::vector<std::unique_ptr<beast::tcp_stream>> idle;
+};
+
+HttpPool::HttpPool(Endpoint endpoint)
+    : m_endpoint(std::move(endpoint))
+    , m_idle(std::make_shared<Connections>())
+{ }
+
+HttpPool::~HttpPool() = default;
+
+asio::awaitable<HttpResult> HttpPool::call(HttpRequest request, Milliseconds timeout)
+{
+    HttpResult result;
+    const std::shared_ptr<Connections> connections = m_idle;
+    const auto message = makeMessage(m_endpoint, request, true);
+    std::unique_ptr<beast::tcp_stream> stream;
+    if (connections->idle.empty()) {
+        stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+        if (!co_await connectStream(*stream, m_endpoint, timeout, result)) {
+            co_return result;
+        }
+    } else {
+        stream = std::move(connections->idle.back());
+        connections->idle.pop_back();
+    }
+    co_await exchange(*stream, message, timeout, result);
+    const bool reusable = result.complete && result.response.valueOf("Connection") != "close";
+    if (reusable && connections->idle.size() < MaxIdleConnections) {
+        stream->expires_never();
+        connections->idle.push_back(std::move(stream));
+    }
+    co_return result;
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/operators/operator_api.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "callers/call_gateway.h"
+#include "core/metrics.h"
+#include "net/http_message.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+
+namespace boragepath {
+
+/**
+ * The interface for operators, under /operator/v1/; each request carries the
+ * deployment's operator key. The command line tool uses nothing else.
+ */
+class OperatorApi
+{
+public:
+    OperatorApi(CallGateway &gateway, Metrics &metrics, std::function<std::string()> extraMetrics);
+
+    bool handles(const HttpRequest &request) const;
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
+
+private:
+    boost::asio::awaitable<HttpResponse> answer(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> applyCatalogue(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> showCatalogue();
+    boost::asio::awaitable<HttpResponse> showVms();
+    boost::asio::awaitable<HttpResponse> showPrograms();
+    boost::asio::awaitable<HttpResponse> explain(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> showIntents();
+    boost::asio::awaitable<HttpResponse> resolveIntent(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> showBudgets();
+    boost::asio::awaitable<HttpResponse> reportBurn();
+    boost::asio::awaitable<HttpResponse> showHealth();
+    boost::asio::awaitable<HttpResponse> showMetrics();
+    boost::asio::awaitable<RangeOutcome> readRows(std::string prefix);
+
+    CallGateway &m_gateway;
+    Metrics &m_metrics;
+    std::function<std::string()> m_extraMetrics;
+};
+
+} // namespace boragepath
--- /dev/null
+++ b/peers/messages.thrift
@@ -0,0 +1,101 @@
+// The datagrams between the VMs of one deployment. Encoded with the compact
+// protocol; a datagram holds one Envelope behind an authentication code.
+namespace cpp boragepath.peers
+
+// What one VM tells of another that it suspects to be gone.
+struct Suspicion {
+    1: string vm;
+    2: i64 fence;
+}
+
+// Load of one replica, as its gatekeeper sees it.
+struct ReplicaLoad {
+    1: string replica;
+    2: i32 running;
+    3: i32 waiting;
+    // Grows with each statement of the same gatekeeper.
+    4: i64 version;
+    // The replica has said that it is leaving.
+    5: bool leaving;
+}
+
+// Liveness probe; the answer is the same struct with answer set.
+struct Probe {
+    1: bool answer;
+    2: i64 sequence;
+    3: i64 catalogueRevision;
+    // Revision of the newest membership or shard row that the sender knows.
+    4: i64 placementRevision;
+    // The sender may not renew its lease at present.
+    5: bool leaseless;
+    6: list<Suspicion> suspicions;
+    7: list<ReplicaLoad> loads;
+    // Age of the newest table read behind catalogueRevision, in milliseconds.
+    8: i32 catalogueAgeMillis;
+}
+
+// An owner asks a gatekeeper for a place at a replica.
+struct PermitRequest {
+    1: i64 permit;
+    2: string replica;
+    // 0 is the class that goes first.
+    3: i16 serviceClass;
+    // Service that the whole program tree has had, in milliseconds.
+    4: i64 attainedMillis;
+    // Time until the program misses its objective; may be negative.
+    5: i64 slackMillis;
+    // Time that the call has waited elsewhere, in milliseconds.
+    6: i64 waitedMillis;
+    // The program has had an answer before.
+    7: bool started;
+    // The asker holds the permit already and refreshes it.
+    8: bool held;
+}
+
+enum PermitOutcome {
+    GRANTED = 0,
+    QUEUED = 1,
+    REFUSED = 2,
+    // The permit is not known, or this VM is not the gatekeeper.
+    UNKNOWN = 3,
+}
+
+struct PermitAnswer {
+    1: i64 permit;
+    2: string replica;
+    3: PermitOutcome outcome;
+    4: i32 running;
+    5: i32 waiting;
+    6: i64 retryAfterMillis;
+}
+
+// Gives a permit back, or withdraws its request.
+struct PermitRelease {
+    1: i64 permit;
+    2: string replica;
+}
+
+struct PermitReleased {
+    1: i64 permit;
+    2: string replica;
+}
+
+// A gatekeeper found programs in a replica's memory and asks their owner
+// whether they are still under way. The owner releases those that are not.
+struct HeldPrograms {
+    1: string replica;
+    // "entry/program" each.
+    2: list<string> programs;
+}
+
+// One datagram.
+struct Envelope {
+    1: string vm;
+    2: i64 fence;
+    3: optional Probe probe;
+    4: optional list<PermitRequest> permitRequests;
+    5: optional list<PermitAnswer> permitAnswers;
+    6: optional list<PermitRelease> permitReleases;
+    7: optional list<PermitReleased> permitsReleased;
+    8: optional HeldPrograms heldPrograms;
+}
--- /dev/null
+++ b/standin/table_store.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "control/table_types.h"
+
+#include <map>
+#include <string>
+
+namespace boragepath {
+
+/** A transactional table in memory: the platform's part in tests and on one machine. */
+class TableStore
+{
+public:
+    /** Commits all writes if every condition holds. */
+    TransactionOutcome apply(const Transaction &transaction);
+    /** Reads the rows under a prefix as they are now. */
+    RangeOutcome range(const RangeRequest &request) const;
+    /** The value of a row, or nothing. */
+    std::optional<std::string> valueOf(const std::string &key) const;
+
+    const std::map<std::string, Row> &rows() const { return m_rows; }
+    RowRevision revision() const { return m_revision; }
+    std::uint64_t transactions() const { return m_transactions; }
+    std::uint64_t rowWrites() const { return m_rowWrites; }
+
+private:
+    bool holds(const Condition &condition) const;
+
+    std::map<std::string, Row> m_rows;
+    RowRevision m_revision;
+    std::uint64_t m_transactions = 0;
+    std::uint64_t m_rowWrites = 0;
+};
+
+} // namespace boragepath
