Add the test world and stop the endless exchange of empty datagrams

Cause: a VM that received any envelope prepared a reply to it; an empty reply was answered by an empty one, without end. The first run of the property test never came to an end. Change: a reply is prepared only for requests and releases.

--- a/control/node.cpp
+++ b/control/node.cpp
@@ -590,6 +590,10 @@
 
 void Node::answerPermits(const VmId &from, FenceNumber fence, const peers::Envelope &envelope)
 {
+    if (envelope.permitRequests.empty() && envelope.permitReleases.empty()) {
+        // An empty reply would be answered by an empty one, without end.
+        return;
+    }
     peers::Envelope &reply = m_outbox.to(from);
     for (const peers::PermitRequest &request : envelope.permitRequests) {
         const ReplicaId replica(request.replica);
--- /dev/null
+++ b/tests/control/promises_test.cpp
@@ -0,0 +1,213 @@
+// Random interleavings of calls, failures and time must keep every promise.
+
+#include "tests/support/world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <cstdlib>
+
+namespace boragepath {
+
+namespace {
+
+/** Something that goes wrong at some time. */
+struct Fault
+{
+    int kind = 0;
+    int vm = 0;
+    int atMillis = 0;
+    int lengthMillis = 0;
+};
+
+constexpr int FaultKinds = 12;
+constexpr int Vms = 3;
+constexpr Seconds FaultTime{30};
+constexpr Seconds SettleTime{240};
+constexpr Seconds StartTime{8};
+
+std::string describe(const std::vector<Fault> &faults)
+{
+    std::vector<std::string> parts;
+    for (const Fault &fault : faults) {
+        parts.push_back(absl::StrCat("{kind ", fault.kind, " vm ", fault.vm, " at ",
+                                     fault.atMillis, " for ", fault.lengthMillis, "}"));
+    }
+    return absl::StrJoin(parts, " ");
+}
+
+void beginFault(World &world, const Fault &fault)
+{
+    const auto vm = static_cast<std::size_t>(fault.vm);
+    const Milliseconds length(fault.lengthMillis);
+    const std::string replica = absl::StrCat(fault.vm % 2 == 0 ? "model-" : "service-",
+                                             1 + fault.vm % 2);
+    switch (fault.kind) {
+    case 0:
+    case 1:
+        world.kill(vm);
+        break;
+    case 2:
+        world.pause(vm);
+        break;
+    case 3:
+        world.cutStore(vm, true);
+        break;
+    case 4:
+        world.cutPeers(vm, true);
+        break;
+    case 5:
+        world.storeOutage(length);
+        break;
+    case 6:
+        world.storeSlow(length, Milliseconds(400));
+        break;
+    case 7:
+        world.loseAnswers(length, 0.5);
+        break;
+    case 8:
+        world.hangReplica(replica, length);
+        break;
+    case 9:
+        world.failReplica(replica, length);
+        break;
+    case 10:
+        world.breakStreams(replica, length);
+        break;
+    case 11:
+        world.terminate(vm);
+        break;
+    default:
+        break;
+    }
+}
+
+void endFault(World &world, const Fault &fault)
+{
+    const auto vm = static_cast<std::size_t>(fault.vm);
+    if (fault.kind == 2) {
+        world.resume(vm);
+    } else if (fault.kind == 3) {
+        world.cutStore(vm, false);
+    } else if (fault.kind == 4) {
+        world.cutPeers(vm, false);
+    }
+    if (world.node(vm) == nullptr) {
+        world.start(vm);
+    }
+}
+
+void startPrograms(World &world, int programs)
+{
+    for (int number = 0; number < programs; ++number) {
+        Script script;
+        script.program = absl::StrCat("program-", number);
+        for (int call = 0; call < 6; ++call) {
+            ScriptCall planned;
+            planned.nonIdempotent = call % 3 == 1;
+            planned.pause = Milliseconds(200 + 700 * ((number + call) % 4));
+            script.calls.push_back(planned);
+        }
+        script.saysLast = number % 3 != 0;
+        world.runScript(script);
+    }
+}
+
+/** Runs the faults in the order of their times, then lets everything settle. */
+void runFaults(World &world, const std::vector<Fault> &faults)
+{
+    struct Step
+    {
+        int atMillis;
+        bool begins;
+        const Fault *fault;
+    };
+    std::vector<Step> steps;
+    for (const Fault &fault : faults) {
+        steps.push_back({fault.atMillis, true, &fault});
+        steps.push_back({fault.atMillis + fault.lengthMillis, false, &fault});
+    }
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const Step &left, const Step &right) {
+                         return left.atMillis < right.atMillis;
+                     });
+    int now = 0;
+    for (const Step &step : steps) {
+        world.run(Milliseconds(step.atMillis - now));
+        now = step.atMillis;
+        if (step.begins) {
+            beginFault(world, *step.fault);
+        } else {
+            endFault(world, *step.fault);
+        }
+    }
+}
+
+void checkEnd(World &world)
+{
+    if (!world.allScriptsEnded()) {
+        world.note("a program never came to an end");
+    }
+    for (const auto &[name, result] : world.results()) {
+        if (!result.finished) {
+            world.note(absl::StrCat(name, " did not finish"));
+        }
+    }
+    for (const auto &[replica, programs] : world.engineMemory()) {
+        if (!programs.empty()) {
+            world.note(absl::StrCat("memory: ", replica, " still holds ",
+                                    absl::StrJoin(programs, " ")));
+        }
+    }
+    if (!fitsWithin(world.spentFor("entry"), world.makeEntry("entry").budget)) {
+        world.note("budget: more was spent than allowed");
+    }
+}
+
+/** All promises under the given faults; gives what was broken. */
+std::vector<std::string> breachesUnder(std::uint64_t seed, const std::vector<Fault> &faults,
+                                       Mechanisms mechanisms = {})
+{
+    World world(seed, Vms, mechanisms);
+    for (std::size_t vm = 0; vm < Vms; ++vm) {
+        world.start(vm);
+    }
+    world.run(StartTime);
+    world.putEntry(world.makeEntry("entry"));
+    world.run(Seconds(2));
+    startPrograms(world, 6);
+    runFaults(world, faults);
+    world.runUntil([&] { return world.allScriptsEnded(); }, SettleTime);
+    // Programs that never said their last are ended by the idle limit.
+    world.run(Seconds(120));
+    checkEnd(world);
+    return world.violations();
+}
+
+rc::Gen<Fault> anyFault()
+{
+    return rc::gen::build<Fault>(
+        rc::gen::set(&Fault::kind, rc::gen::inRange(0, FaultKinds)),
+        rc::gen::set(&Fault::vm, rc::gen::inRange(0, Vms)),
+        rc::gen::set(&Fault::atMillis,
+                     rc::gen::inRange(0, static_cast<int>(Milliseconds(FaultTime).count()))),
+        rc::gen::set(&Fault::lengthMillis, rc::gen::inRange(100, 9'000)));
+}
+
+} // namespace
+
+RC_GTEST_PROP(Promises, HoldUnderRandomFaults, ())
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto count = *rc::gen::inRange(0, 6);
+    const auto faults = *rc::gen::container<std::vector<Fault>>(count, anyFault());
+    const std::vector<std::string> breaches = breachesUnder(seed, faults);
+    RC_LOG() << "seed " << seed << " faults " << describe(faults) << "\n"
+             << absl::StrJoin(breaches, "\n") << "\n";
+    RC_ASSERT(breaches.empty());
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/tests/support/world.cpp
@@ -0,0 +1,830 @@
+#include "tests/support/world.h"
+
+#include "core/hash.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+
+namespace boragepath {
+
+namespace {
+
+constexpr Milliseconds TickInterval{20};
+constexpr Milliseconds TableLatency{10};
+constexpr Milliseconds PeerLatency{5};
+constexpr Milliseconds ShellLatency{3};
+constexpr Milliseconds ConnectionLoss{50};
+constexpr Milliseconds CallerPause{200};
+constexpr Milliseconds BackendTime{300};
+constexpr Milliseconds CallerGivesUpWaiting{15'000};
+constexpr std::int64_t TokensInBytes = 4;
+constexpr const char *Model = "model";
+constexpr const char *Service = "service";
+
+PoolSettings makePool(const std::string &name, bool isService, int replicas)
+{
+    PoolSettings pool;
+    pool.name = PoolName(name);
+    pool.isService = isService;
+    pool.usefulBatch = 4;
+    pool.microsPerCall = isService ? 100 : 0;
+    pool.microsPerThousandTokens = isService ? 0 : 1'000;
+    pool.defaultMaxTokens = 10;
+    for (int number = 1; number <= replicas; ++number) {
+        ReplicaSettings replica;
+        replica.id = ReplicaId(absl::StrCat(name, "-", number));
+        replica.endpoint = {"127.0.1.1", static_cast<std::uint16_t>(9000 + number)};
+        replica.zone = ZoneId("zone");
+        pool.replicas.push_back(replica);
+    }
+    return pool;
+}
+
+Settings makeSettings(std::size_t vm)
+{
+    Settings settings;
+    settings.vm = VmId(absl::StrCat("vm-", vm + 1));
+    settings.zone = ZoneId("zone");
+    settings.callers = {"127.0.0.1", static_cast<std::uint16_t>(7000 + vm)};
+    settings.peers = {"127.0.0.1", static_cast<std::uint16_t>(8000 + vm)};
+    settings.shardCount = 8;
+    settings.leaseTerm = Milliseconds(3'000);
+    settings.leaseMargin = Milliseconds(500);
+    settings.cataloguePollInterval = Milliseconds(1'000);
+    settings.programIdleLimit = Milliseconds(60'000);
+    settings.pools = {makePool(Model, false, 2), makePool(Service, true, 2)};
+    return settings;
+}
+
+/** The messages of a composed body: what stands between the brackets. */
+std::string messagesIn(const std::string &body)
+{
+    const std::string mark = "\"messages\":";
+    const std::size_t start = body.find(mark);
+    return start == std::string::npos ? "" : body.substr(start + mark.size());
+}
+
+std::string textOf(const ProgramKey &key)
+{
+    return absl::StrCat(key.entry.value(), "/", key.program.value());
+}
+
+} // namespace
+
+std::string fakeAnswer(const std::string &messages)
+{
+    return absl::StrCat("answer-", hashOf(messages));
+}
+
+/** Carries the actions of one process into the world. */
+class World::Shell final : public Effects
+{
+public:
+    Shell(World &world, std::size_t vm, std::uint64_t process)
+        : m_world(world)
+        , m_vm(vm)
+        , m_process(process)
+    {
+    }
+
+    void transact(std::uint64_t id, const Transaction &transaction) override
+    {
+        World &world = m_world;
+        const std::size_t vm = m_vm;
+        const std::uint64_t process = m_process;
+        if (world.m_transactHook) {
+            world.m_transactHook(vm, transaction);
+        }
+        Duration delay = world.latency(TableLatency);
+        if (world.m_clock.now() < world.m_slowUntil) {
+            delay += world.m_slowBy;
+        }
+        const bool cut = world.m_vms[vm].storeCut;
+        // Once it has left the process a transaction arrives, even if the process dies.
+        world.after(delay, [&world, vm, process, id, transaction, cut] {
+            TransactionOutcome outcome;
+            const bool reaches = !cut && world.m_clock.now() >= world.m_outageUntil;
+            if (reaches) {
+                outcome = world.m_store.apply(transaction);
+                world.checkLedgers();
+            }
+            std::uniform_real_distribution<double> share(0, 1);
+            const bool committed = outcome.kind == TransactionOutcome::Kind::Committed;
+            bool lost = world.m_clock.now() < world.m_loseUntil
+                && share(world.m_random) < world.m_loseShare;
+            if (committed && world.m_loseNext && world.m_loseNext(transaction)) {
+                world.m_loseNext = nullptr;
+                lost = true;
+            }
+            if (lost || world.m_vms[vm].storeCut) {
+                outcome = {};
+            }
+            const Duration back = outcome.kind == TransactionOutcome::Kind::NoAnswer
+                ? Duration(Milliseconds(500))
+                : world.latency(TableLatency);
+            world.inProcess(vm, process, back,
+                            [id, outcome](Node &node) { node.onTransaction(id, outcome); });
+        });
+    }
+
+    void read(std::uint64_t id, const RangeRequest &request) override
+    {
+        World &world = m_world;
+        const std::size_t vm = m_vm;
+        const std::uint64_t process = m_process;
+        Duration delay = world.latency(TableLatency);
+        if (world.m_clock.now() < world.m_slowUntil) {
+            delay += world.m_slowBy;
+        }
+        world.after(delay, [&world, vm, process, id, request] {
+            RangeOutcome outcome;
+            if (world.storeUp(vm)) {
+                outcome = world.m_store.range(request);
+            }
+            const Duration back = outcome.answered ? world.latency(TableLatency)
+                                                   : Duration(Milliseconds(500));
+            world.inProcess(vm, process, back,
+                            [id, outcome](Node &node) { node.onRange(id, outcome); });
+        });
+    }
+
+    void sendPeer(const Endpoint &to, const peers::Envelope &envelope) override
+    {
+        World &world = m_world;
+        for (std::size_t vm = 0; vm < world.m_vms.size(); ++vm) {
+            Vm &target = world.m_vms[vm];
+            const bool cut = target.peersCut || world.m_vms[m_vm].peersCut;
+            if (target.settings.peers == to && target.node != nullptr && !cut) {
+                world.inProcess(vm, target.process, world.latency(PeerLatency),
+                                [envelope](Node &node) { node.onDatagram(envelope); });
+            }
+        }
+    }
+
+    void dispatch(CallHandle handle, const BackendCall &call) override
+    {
+        World &world = m_world;
+        if (world.m_dispatchHook) {
+            world.m_dispatchHook(m_vm, call);
+        }
+        const std::size_t vm = m_vm;
+        const std::uint64_t process = m_process;
+        world.inProcess(vm, process, world.latency(ShellLatency),
+                        [&world, vm, process, handle, call](Node &) {
+                            world.startBackend(vm, process, handle, call);
+                        });
+    }
+
+    void answer(CallHandle handle, const CallAnswer &answer) override
+    {
+        World &world = m_world;
+        const auto attempt = world.m_attempts.find(handle);
+        if (attempt == world.m_attempts.end()) {
+            return;
+        }
+        const bool notRun
+            = answer.refusal.has_value() && answer.refusal->verdict == Verdict::NotRun;
+        if (notRun && attempt->second.dispatched) {
+            world.note(absl::StrCat("not-run: ", attempt->second.script,
+                                    " was sent and then refused as not run"));
+        }
+        const auto done = attempt->second.done;
+        const std::size_t vm = m_vm;
+        const std::uint64_t process = m_process;
+        world.after(world.latency(ShellLatency), [&world, handle, done, answer, vm, process] {
+            // An answer that is on its way is lost with its process.
+            if (!world.deadOrGone(vm, process) && world.m_attempts.erase(handle) > 0) {
+                done(&answer);
+            }
+        });
+    }
+
+    void relay(CallHandle handle, const Endpoint &owner) override
+    {
+        World &world = m_world;
+        const auto attempt = world.m_attempts.find(handle);
+        if (attempt == world.m_attempts.end()) {
+            return;
+        }
+        const std::size_t target = world.vmAt(owner);
+        CallRequest request = attempt->second.request;
+        request.relayed = true;
+        attempt->second.vm = target;
+        attempt->second.process = world.m_vms[target].process;
+        world.after(world.latency(PeerLatency), [&world, target, request, handle] {
+            world.submitAt(target, request, handle);
+        });
+    }
+
+    void releaseMemory(std::uint64_t id, const ReplicaSettings &replica,
+                       const ProgramKey &program) override
+    {
+        World &world = m_world;
+        const std::size_t vm = m_vm;
+        const std::uint64_t process = m_process;
+        const std::string name = replica.id.value();
+        const std::string key = textOf(program);
+        world.after(world.latency(PeerLatency), [&world, vm, process, id, name, key] {
+            const bool up = world.m_clock.now() >= world.m_failUntil[name]
+                && world.m_clock.now() >= world.m_hangUntil[name];
+            if (up) {
+                world.m_memory[name].erase(key);
+            }
+            world.inProcess(vm, process, world.latency(PeerLatency),
+                            [id, up](Node &node) { node.onReleased(id, up); });
+        });
+    }
+
+    void readHeld(std::uint64_t id, const ReplicaSettings &replica) override
+    {
+        World &world = m_world;
+        const std::size_t vm = m_vm;
+        const std::string name = replica.id.value();
+        std::vector<ProgramKey> held;
+        for (const std::string &text : world.m_memory[name]) {
+            const std::size_t slash = text.find('/');
+            held.push_back({EntryName(text.substr(0, slash)), ProgramId(text.substr(slash + 1))});
+        }
+        const bool up = world.m_clock.now() >= world.m_failUntil[name];
+        const bool leaving = world.m_leaving.contains(name);
+        world.inProcess(vm, m_process, world.latency(PeerLatency),
+                        [id, up, leaving, held](Node &node) {
+                            node.onHeld(id, up, leaving, held);
+                        });
+    }
+
+    void log(std::string_view event, const std::string &detail) override
+    {
+        m_world.m_trace.push_back(absl::StrCat(millisOf(m_world.m_clock.now().time_since_epoch()),
+                                               " vm-", m_vm + 1, " ", std::string(event), " ",
+                                               detail));
+    }
+
+private:
+    World &m_world;
+    std::size_t m_vm;
+    std::uint64_t m_process;
+};
+
+World::World(std::uint64_t seed, std::size_t vms, Mechanisms mechanisms)
+    : m_random(seed)
+    , m_mechanisms(mechanisms)
+    , m_vms(vms)
+{
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        m_vms[vm].settings = makeSettings(vm);
+    }
+}
+
+World::~World() = default;
+
+// --- Time ------------------------------------------------------------------
+
+void World::at(SteadyTime time, std::function<void()> act)
+{
+    m_events.push({time, m_nextOrder++, std::move(act)});
+}
+
+void World::after(Duration delay, std::function<void()> act)
+{
+    at(m_clock.now() + delay, std::move(act));
+}
+
+Duration World::latency(Milliseconds most)
+{
+    std::uniform_int_distribution<std::int64_t> spread(1, most.count() * 1'000);
+    return std::chrono::microseconds(spread(m_random));
+}
+
+bool World::runUntil(const std::function<bool()> &done, Duration limit)
+{
+    const SteadyTime end = m_clock.now() + limit;
+    while (!done()) {
+        if (m_events.empty() || m_events.top().at > end) {
+            m_clock.moveTo(end);
+            return done();
+        }
+        const Event event = m_events.top();
+        m_events.pop();
+        m_clock.moveTo(event.at);
+        event.act();
+    }
+    return true;
+}
+
+void World::run(Duration duration)
+{
+    runUntil([] { return false; }, duration);
+}
+
+bool World::deadOrGone(std::size_t vm, std::uint64_t process) const
+{
+    return m_vms[vm].node == nullptr || m_vms[vm].process != process;
+}
+
+void World::inProcess(std::size_t vm, std::uint64_t process, Duration delay,
+                      std::function<void(Node &)> act)
+{
+    after(delay, [this, vm, process, act] {
+        Vm &target = m_vms[vm];
+        if (deadOrGone(vm, process)) {
+            return;
+        }
+        if (target.paused) {
+            target.frozen.push_back([this, vm, process, act] {
+                inProcess(vm, process, Duration(0), act);
+            });
+            return;
+        }
+        act(*target.node);
+        checkVm(vm);
+    });
+}
+
+void World::tickVm(std::size_t vm, std::uint64_t process)
+{
+    inProcess(vm, process, TickInterval, [this, vm, process](Node &node) {
+        node.tick();
+        if (node.left()) {
+            m_vms[vm].node.reset();
+            return;
+        }
+        tickVm(vm, process);
+    });
+}
+
+// --- Faults ----------------------------------------------------------------
+
+void World::start(std::size_t vm)
+{
+    Vm &target = m_vms[vm];
+    target.process = m_nextProcess++;
+    target.paused = false;
+    target.frozen.clear();
+    target.seenRevision = {};
+    target.shell = std::make_unique<Shell>(*this, vm, target.process);
+    target.node = std::make_unique<Node>(target.settings, m_clock, *target.shell, m_random(),
+                                         m_mechanisms);
+    target.node->start();
+    tickVm(vm, target.process);
+}
+
+void World::kill(std::size_t vm)
+{
+    Vm &target = m_vms[vm];
+    const std::uint64_t process = target.process;
+    target.node.reset();
+    target.paused = false;
+    target.frozen.clear();
+    // Connections of callers break a moment later.
+    for (const auto &[handle, attempt] : m_attempts) {
+        if (attempt.vm != vm || attempt.process != process) {
+            continue;
+        }
+        const CallHandle lost = handle;
+        const auto done = attempt.done;
+        after(latency(ConnectionLoss), [this, lost, done] {
+            if (m_attempts.erase(lost) > 0) {
+                done(nullptr);
+            }
+        });
+    }
+}
+
+void World::pause(std::size_t vm)
+{
+    m_vms[vm].paused = m_vms[vm].node != nullptr;
+}
+
+void World::resume(std::size_t vm)
+{
+    Vm &target = m_vms[vm];
+    target.paused = false;
+    for (const auto &act : std::exchange(target.frozen, {})) {
+        act();
+    }
+}
+
+void World::terminate(std::size_t vm)
+{
+    if (m_vms[vm].node != nullptr && !m_vms[vm].paused) {
+        m_vms[vm].node->leave();
+    }
+}
+
+void World::cutStore(std::size_t vm, bool cut)
+{
+    m_vms[vm].storeCut = cut;
+}
+
+void World::cutPeers(std::size_t vm, bool cut)
+{
+    m_vms[vm].peersCut = cut;
+}
+
+void World::storeOutage(Duration duration)
+{
+    m_outageUntil = std::max(m_outageUntil, m_clock.now() + duration);
+}
+
+void World::storeSlow(Duration duration, Duration delay)
+{
+    m_slowUntil = m_clock.now() + duration;
+    m_slowBy = delay;
+}
+
+void World::loseAnswers(Duration duration, double share)
+{
+    m_loseUntil = m_clock.now() + duration;
+    m_loseShare = share;
+}
+
+void World::loseNextAnswer(std::function<bool(const Transaction &)> matches)
+{
+    m_loseNext = std::move(matches);
+}
+
+void World::hangReplica(const std::string &replica, Duration duration)
+{
+    m_hangUntil[replica] = m_clock.now() + duration;
+}
+
+void World::failReplica(const std::string &replica, Duration duration)
+{
+    m_failUntil[replica] = m_clock.now() + duration;
+    m_memory[replica].clear();
+}
+
+void World::breakStreams(const std::string &replica, Duration duration)
+{
+    m_breakUntil[replica] = m_clock.now() + duration;
+}
+
+void World::setLeaving(const std::string &replica, bool leaving)
+{
+    if (leaving) {
+        m_leaving.insert(replica);
+    } else {
+        m_leaving.erase(replica);
+    }
+}
+
+bool World::storeUp(std::size_t vm) const
+{
+    return m_clock.now() >= m_outageUntil && !m_vms[vm].storeCut;
+}
+
+// --- Checks ----------------------------------------------------------------
+
+void World::checkVm(std::size_t vm)
+{
+    Vm &target = m_vms[vm];
+    if (target.node == nullptr) {
+        return;
+    }
+    const CatalogueRevision revision = target.node->catalogue().revision();
+    if (revision < target.seenRevision) {
+        note(absl::StrCat("catalogue: vm-", vm + 1, " went back to ", revision.value()));
+    }
+    target.seenRevision = revision;
+}
+
+void World::checkLedgers()
+{
+    for (auto row = m_store.rows().lower_bound("ledger/"); row != m_store.rows().end(); ++row) {
+        if (!absl::StartsWith(row->first, "ledger/")) {
+            break;
+        }
+        const std::string entry = row->first.substr(7, row->first.rfind('/') - 7);
+        const auto budget = m_largestBudget.find(entry);
+        const LedgerRecord ledger = decodeLedger(row->second.value).value_or(LedgerRecord{});
+        if (budget != m_largestBudget.end() && !fitsWithin(ledger.granted, budget->second)) {
+            note(absl::StrCat("budget: ", entry, " granted ", ledger.granted.tokens));
+        }
+    }
+}
+
+Amount World::spentFor(const std::string &entry) const
+{
+    const auto found = m_spent.find(entry);
+    return found == m_spent.end() ? Amount{} : found->second;
+}
+
+int World::callsAt(const std::string &replica, SteadyTime since) const
+{
+    const auto found = m_callsAt.find(replica);
+    if (found == m_callsAt.end()) {
+        return 0;
+    }
+    return static_cast<int>(std::count_if(found->second.begin(), found->second.end(),
+                                          [&](SteadyTime time) { return time >= since; }));
+}
+
+Node *World::node(std::size_t vm)
+{
+    return m_vms[vm].node.get();
+}
+
+std::size_t World::ownerOf(const std::string &entry, const std::string &program)
+{
+    const ProgramKey key{EntryName(entry), ProgramId(program)};
+    const std::optional<std::string> value
+        = m_store.valueOf(keys::shard(shardOf(key, m_vms[0].settings.shardCount)));
+    const std::optional<ShardRecord> record
+        = value.has_value() ? decodeShard(*value) : std::nullopt;
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+        if (record.has_value() && m_vms[vm].settings.vm == record->owner) {
+            return vm;
+        }
+    }
+    return m_vms.size();
+}
+
+std::size_t World::vmAt(const Endpoint &callers) const
+{
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+        if (m_vms[vm].settings.callers == callers) {
+            return vm;
+        }
+    }
+    return 0;
+}
+
+// --- Backend servers -------------------------------------------------------
+
+void World::startBackend(std::size_t vm, std::uint64_t process, CallHandle handle,
+                         BackendCall call)
+{
+    const std::string replica = call.replica.id.value();
+    const SteadyTime now = m_clock.now();
+    const bool tooLate = !call.idempotent && now >= call.sendBefore;
+    if (tooLate || now < m_failUntil[replica] || m_leaving.contains(replica)) {
+        BackendOutcome outcome;
+        outcome.error = tooLate ? "too late to send" : "turned away";
+        inProcess(vm, process, latency(PeerLatency), [handle, outcome](Node &node) {
+            node.onBackend(handle, outcome);
+        });
+        return;
+    }
+    const auto attempt = m_attempts.find(handle);
+    if (attempt != m_attempts.end()) {
+        attempt->second.dispatched = true;
+    }
+    m_callsAt[replica].push_back(now);
+    const std::string name = textOf(call.program);
+    std::uint32_t &newest = m_newestStarted[name];
+    if (call.number.value() < newest) {
+        note(absl::StrCat("order: ", name, " ran call ", call.number.value(), " after call ",
+                          newest));
+    }
+    newest = std::max(newest, call.number.value());
+    if (call.isService && !call.idempotencyKey.empty()) {
+        const int runs = ++m_serviceRuns[call.idempotencyKey];
+        if (runs > 1) {
+            note(absl::StrCat("at most once: ", call.idempotencyKey, " ran ", runs, " times"));
+        }
+    }
+    if (!call.isService) {
+        m_memory[replica].insert(name);
+    }
+    Duration time = latency(BackendTime);
+    if (now < m_hangUntil[replica]) {
+        time += m_hangUntil[replica] - now;
+    }
+    after(time, [this, vm, process, handle, call] { finishBackend(vm, process, handle, call); });
+}
+
+void World::finishBackend(std::size_t vm, std::uint64_t process, CallHandle handle,
+                          BackendCall call)
+{
+    const std::string replica = call.replica.id.value();
+    const SteadyTime now = m_clock.now();
+    if (deadOrGone(vm, process) && !call.isService) {
+        // The engine noticed that the connection is gone, and ended the stream.
+        return;
+    }
+    BackendOutcome outcome;
+    outcome.sent = true;
+    if (now < m_failUntil[replica] || now < m_breakUntil[replica]) {
+        outcome.forwarded = !call.isService;
+        outcome.error = "the stream broke";
+    } else {
+        outcome.complete = true;
+        outcome.status = 200;
+        if (call.isService) {
+            outcome.answer = "done";
+            m_spent[call.program.entry.value()] += Amount{0, 100};
+        } else {
+            const std::string messages = messagesIn(call.body);
+            outcome.answer = fakeAnswer(messages);
+            outcome.finishReason = "stop";
+            outcome.usage.promptTokens
+                = static_cast<std::int64_t>(messages.size()) / TokensInBytes;
+            outcome.usage.completionTokens = 10;
+            const std::int64_t tokens
+                = outcome.usage.promptTokens + outcome.usage.completionTokens;
+            m_spent[call.program.entry.value()] += Amount{tokens, tokens};
+        }
+    }
+    inProcess(vm, process, latency(ShellLatency),
+              [handle, outcome](Node &node) { node.onBackend(handle, outcome); });
+}
+
+// --- Callers ---------------------------------------------------------------
+
+Entry World::makeEntry(const std::string &name) const
+{
+    Entry entry;
+    entry.name = EntryName(name);
+    entry.owner = "test";
+    entry.pools = {PoolName(Model), PoolName(Service)};
+    entry.callsPerSecond = 10'000;
+    entry.keySalt = "salt";
+    entry.keyHash = saltedKeyHash("salt", "key");
+    return entry;
+}
+
+void World::putEntry(const Entry &entry, std::size_t by)
+{
+    Amount &largest = m_largestBudget[entry.name.value()];
+    largest = largerOf(largest, entry.budget);
+    if (m_vms[by].node != nullptr) {
+        m_vms[by].node->applyCatalogue({entry}, CatalogueRevision(), [](const EditResult &) {});
+    }
+}
+
+void World::runScript(const Script &script)
+{
+    const std::string name = script.entry + "/" + script.program;
+    m_scripts[name] = {};
+    m_scripts[name].script = script;
+    m_results[name] = {};
+    m_openScripts += 1;
+    callNext(name);
+}
+
+void World::endScript(const std::string &name, bool finished)
+{
+    m_results[name].finished = finished;
+    m_results[name].endedAt = m_clock.now();
+    m_openScripts -= 1;
+}
+
+void World::callNext(const std::string &name)
+{
+    ScriptState &state = m_scripts[name];
+    if (state.index >= state.script.calls.size()) {
+        endScript(name, true);
+        return;
+    }
+    const ScriptCall &call = state.script.calls[state.index];
+    after(call.pause + latency(Milliseconds(20)), [this, name] {
+        m_scripts[name].callStarted = m_clock.now();
+        m_scripts[name].attempts = 0;
+        tryCall(name);
+    });
+}
+
+CallRequest World::requestOf(ScriptState &state)
+{
+    const ScriptCall &call = state.script.calls[state.index];
+    CallRequest request;
+    request.program = {EntryName(state.script.entry), ProgramId(state.script.program)};
+    request.number = CallNumber(static_cast<std::uint32_t>(state.index + 1));
+    request.isService = call.nonIdempotent;
+    request.pool = PoolName(request.isService ? Service : Model);
+    request.path = "/act";
+    request.content = request.isService
+        ? "body"
+        : absl::StrCat("{\"role\":\"user\",\"content\":\"", state.script.program, " question ",
+                       state.index + 1, "\"}");
+    request.messageCount = 1;
+    request.maxTokens = call.maxTokens;
+    request.idempotent = !call.nonIdempotent;
+    if (call.nonIdempotent) {
+        request.idempotencyKey
+            = absl::StrCat(state.script.entry, ".", state.script.program, ".", state.index + 1);
+    }
+    request.last = state.script.saysLast && state.index + 1 == state.script.calls.size();
+    request.bearerKey = "key";
+    request.bodyHash = hashOf(absl::StrCat(request.content, request.idempotencyKey));
+    return request;
+}
+
+void World::tryCall(const std::string &name)
+{
+    ScriptState &state = m_scripts[name];
+    state.attempts += 1;
+    if (m_clock.now() > state.callStarted + state.script.patience) {
+        endScript(name, false);
+        return;
+    }
+    const CallHandle handle(m_nextHandle++);
+    CallRequest request = requestOf(state);
+    request.handle = handle;
+    std::size_t vm = m_random() % m_vms.size();
+    if (state.attempts == 1) {
+        const std::size_t owner = ownerOf(state.script.entry, state.script.program);
+        vm = owner < m_vms.size() ? owner : vm;
+    }
+    Attempt attempt;
+    attempt.script = name;
+    attempt.vm = vm;
+    attempt.process = m_vms[vm].process;
+    attempt.request = request;
+    attempt.done = [this, name](const CallAnswer *answer) { onAnswer(name, answer); };
+    m_attempts[handle] = attempt;
+    after(latency(PeerLatency), [this, vm, request, handle] { submitAt(vm, request, handle); });
+    // A caller does not wait for a silent VM for ever.
+    after(CallerGivesUpWaiting, [this, handle] {
+        const auto found = m_attempts.find(handle);
+        if (found != m_attempts.end()) {
+            const auto done = found->second.done;
+            m_attempts.erase(found);
+            done(nullptr);
+        }
+    });
+}
+
+void World::submitAt(std::size_t vm, CallRequest request, CallHandle handle)
+{
+    const auto found = m_attempts.find(handle);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    if (m_vms[vm].node == nullptr) {
+        const auto done = found->second.done;
+        m_attempts.erase(found);
+        done(nullptr);
+        return;
+    }
+    found->second.vm = vm;
+    found->second.process = m_vms[vm].process;
+    inProcess(vm, m_vms[vm].process, Duration(0),
+              [request](Node &node) { node.submit(request); });
+}
+
+void World::onAnswer(const std::string &name, const CallAnswer *answer)
+{
+    ScriptState &state = m_scripts[name];
+    ScriptResult &result = m_results[name];
+    const ScriptCall &call = state.script.calls[state.index];
+    if (answer == nullptr) {
+        result.losses += 1;
+        after(CallerPause, [this, name] { tryCall(name); });
+        return;
+    }
+    const CallRequest request = requestOf(state);
+    if (answer->refusal.has_value()) {
+        const Refusal &refusal = *answer->refusal;
+        const bool unknown
+            = call.nonIdempotent && refusal.reason == Reason::OutcomeUnknown;
+        if (unknown) {
+            result.verdicts.emplace_back("may-have-run");
+            result.reasons.push_back(refusal.reason);
+            state.index += 1;
+            callNext(name);
+            return;
+        }
+        if (refusal.verdict == Verdict::NotRun && refusal.retryAfter == Milliseconds(0)) {
+            result.verdicts.emplace_back("not-run");
+            result.reasons.push_back(refusal.reason);
+            endScript(name, false);
+            return;
+        }
+        const Duration pause = std::max<Duration>(refusal.retryAfter, CallerPause);
+        if (refusal.reason == Reason::BudgetExhausted) {
+            result.verdicts.emplace_back("not-run");
+            result.reasons.push_back(refusal.reason);
+            endScript(name, false);
+            return;
+        }
+        after(pause, [this, name] { tryCall(name); });
+        return;
+    }
+    result.verdicts.emplace_back(verdictName(answer->turn.verdict));
+    result.reasons.push_back(Reason::None);
+    if (answer->nextCall.value() != state.index + 2) {
+        note(absl::StrCat("order: ", name, " expects call ", answer->nextCall.value()));
+    }
+    if (call.nonIdempotent) {
+        if (m_serviceRuns[request.idempotencyKey] != 1) {
+            note(absl::StrCat("ran: ", request.idempotencyKey, " was answered as run but ran ",
+                              m_serviceRuns[request.idempotencyKey], " times"));
+        }
+    } else {
+        state.messages += (state.messages.empty() ? "" : ",") + request.content;
+        if (answer->turn.answer != fakeAnswer("[" + state.messages + "]}")) {
+            note(absl::StrCat("history: ", name, " call ", state.index + 1,
+                              " was answered from another conversation"));
+        }
+        state.messages += ","
+            + boost::json::serialize(boost::json::object{{"role", "assistant"},
+                                                         {"content", answer->turn.answer}});
+    }
+    state.index += 1;
+    callNext(name);
+}
+
+} // namespace boragepath
