Test failures, mechanisms and parts; keep binary service answers

Cause: the record property test wrote a turn whose answer was not valid UTF-8; it could not be read back, so a program that had called such a service would have lost its history at the next owner. Change: a service's answer is kept in Base64. Also: settings that end too early or too late name their line.

--- a/control/call_engine.cpp
+++ b/control/call_engine.cpp
@@ -1121,6 +1121,9 @@
 
 void CallEngine::checkHeld(const ReplicaId &replica, const std::vector<ProgramKey> &programs)
 {
+    if (!m_mechanisms.release) {
+        return;
+    }
     for (const ProgramKey &key : programs) {
         if (!m_scanned.contains(shardOf(key, m_parts.settings.shardCount))) {
             continue;
--- a/control/records.cpp
+++ b/control/records.cpp
@@ -2,6 +2,7 @@
 
 #include "core/object_reader.h"
 
+#include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -356,7 +357,7 @@
         {"service", record.isService},
         {"idempotent", record.idempotent},
         {"messages", record.messages},
-        {"answer", record.answer},
+        {"answer", record.isService ? absl::Base64Escape(record.answer) : record.answer},
         {"finish", record.finishReason},
         {"status", record.status},
         {"pool", record.pool.value()},
@@ -385,6 +386,11 @@
     record.idempotent = reader.flag("idempotent");
     record.messages = reader.text("messages");
     record.answer = reader.text("answer");
+    if (record.isService) {
+        // A service may answer with any bytes; JSON holds only text.
+        const std::string coded = std::exchange(record.answer, {});
+        absl::Base64Unescape(coded, &record.answer);
+    }
     record.finishReason = reader.text("finish");
     record.status = static_cast<unsigned>(reader.number("status"));
     record.pool = PoolName(reader.text("pool"));
--- a/core/object_reader.cpp
+++ b/core/object_reader.cpp
@@ -185,14 +185,10 @@
     options.allow_trailing_commas = true;
     json::error_code error;
     json::stream_parser parser({}, options);
-    const std::size_t consumed = parser.write_some(input.data(), input.size(), error);
+    const std::size_t consumed = parser.write(input.data(), input.size(), error);
     if (!error) {
         parser.finish(error);
     }
-    const std::string_view rest = input.substr(std::min(consumed, input.size()));
-    if (!error && rest.find_first_not_of(" \t\r\n") != std::string_view::npos) {
-        error = json::error::extra_data;
-    }
     if (error) {
         const auto line = 1 + std::count(input.begin(), input.begin() + consumed, '\n');
         return absl::InvalidArgumentError(absl::StrCat("line ", line, ": ", error.message()));
--- /dev/null
+++ b/tests/callers/call_parser_test.cpp
@@ -0,0 +1,137 @@
+#include "callers/call_parser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace boragepath {
+
+namespace {
+
+HttpRequest goodRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.fields = {
+        {"Authorization", "Bearer key"},  {"Boragepath-Entry", "entry"},
+        {"Boragepath-Program", "p-1"},    {"Boragepath-Call", "3"},
+    };
+    request.body = R"({"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":5})";
+    return request;
+}
+
+void set(HttpRequest &request, const std::string &name, const std::string &value)
+{
+    std::erase_if(request.fields, [&](const HttpField &field) { return field.name == name; });
+    request.fields.push_back({name, value});
+}
+
+void expectRefusal(const HttpRequest &request, const std::string &field)
+{
+    const CallOrRefusal parsed = request.target == "/v1/chat/completions"
+        ? parseModelCall(request)
+        : parseServiceCall(request);
+    ASSERT_TRUE(std::holds_alternative<Refusal>(parsed)) << field;
+    const Refusal &refusal = std::get<Refusal>(parsed);
+    EXPECT_EQ(refusal.field, field);
+    EXPECT_EQ(refusal.verdict, Verdict::NotRun);
+    EXPECT_GE(httpStatusOf(refusal.reason), 400U);
+    EXPECT_LT(httpStatusOf(refusal.reason), 500U);
+}
+
+} // namespace
+
+TEST(CallParser, GoodCallIsRead)
+{
+    const CallOrRefusal parsed = parseModelCall(goodRequest());
+    ASSERT_TRUE(std::holds_alternative<ParsedCall>(parsed));
+    const CallRequest &call = std::get<ParsedCall>(parsed).request;
+    EXPECT_EQ(call.program.entry, EntryName("entry"));
+    EXPECT_EQ(call.number, CallNumber(3));
+    EXPECT_EQ(call.content, R"({"role":"user","content":"hi"})");
+    EXPECT_EQ(call.maxTokens, 5);
+    EXPECT_TRUE(call.idempotent);
+}
+
+TEST(CallParser, FurtherFieldsReachTheEngine)
+{
+    HttpRequest request = goodRequest();
+    request.body = R"({"model":"m","messages":[{"role":"user"}],"temperature":0.5,"user":"x"})";
+    const CallOrRefusal parsed = parseModelCall(request);
+    ASSERT_TRUE(std::holds_alternative<ParsedCall>(parsed));
+    EXPECT_EQ(std::get<ParsedCall>(parsed).request.extras, ",\"temperature\":5E-1");
+}
+
+TEST(CallParser, EachWrongFieldIsNamed)
+{
+    HttpRequest request = goodRequest();
+    request.body = "{";
+    expectRefusal(request, "body");
+    request.body = "[]";
+    expectRefusal(request, "body");
+    request.body = R"({"messages":[{"role":"user"}]})";
+    expectRefusal(request, "model");
+    request.body = R"({"model":"m","messages":[]})";
+    expectRefusal(request, "messages");
+    request.body = R"({"model":"m","messages":[{"role":"user"}],"max_tokens":0})";
+    expectRefusal(request, "max_tokens");
+    request.body = R"({"model":"m","messages":[{"role":"user"}],"stream":1})";
+    expectRefusal(request, "stream");
+    request = goodRequest();
+    set(request, "Boragepath-Call", "0");
+    expectRefusal(request, "Boragepath-Call");
+    request = goodRequest();
+    set(request, "Boragepath-Program", "a/b");
+    expectRefusal(request, "Boragepath-Program");
+    request = goodRequest();
+    set(request, "Boragepath-Entry", "");
+    expectRefusal(request, "Boragepath-Entry");
+    request = goodRequest();
+    set(request, "Authorization", "Basic x");
+    expectRefusal(request, "Authorization");
+    request = goodRequest();
+    set(request, "Boragepath-Non-Idempotent", "true");
+    expectRefusal(request, "Idempotency-Key");
+    request = goodRequest();
+    set(request, "Boragepath-Final", "yes");
+    expectRefusal(request, "Boragepath-Final");
+    request = goodRequest();
+    request.fields.push_back({"Boragepath-Program", "other"});
+    expectRefusal(request, "Boragepath-Program");
+    request = goodRequest();
+    request.target = "/v1/services/";
+    expectRefusal(request, "path");
+}
+
+TEST(CallParser, DeepNestingIsRefused)
+{
+    HttpRequest request = goodRequest();
+    request.body = std::string(100'000, '[');
+    expectRefusal(request, "body");
+}
+
+TEST(CallParser, DifferentCallsHaveDifferentHashes)
+{
+    HttpRequest request = goodRequest();
+    const auto hashOf = [](const HttpRequest &one) {
+        return std::get<ParsedCall>(parseModelCall(one)).request.bodyHash;
+    };
+    const std::uint64_t first = hashOf(request);
+    set(request, "Boragepath-Final", "true");
+    EXPECT_NE(hashOf(request), first);
+    request = goodRequest();
+    request.body = R"({"model":"m","messages":[{"role":"user","content":"ho"}],"max_tokens":5})";
+    EXPECT_NE(hashOf(request), first);
+}
+
+RC_GTEST_PROP(CallParserProperty, AnyBodyIsParsedOrRefusedWithAField, (const std::string &body))
+{
+    HttpRequest request = goodRequest();
+    request.body = body;
+    const CallOrRefusal parsed = parseModelCall(request);
+    if (std::holds_alternative<Refusal>(parsed)) {
+        RC_ASSERT(!std::get<Refusal>(parsed).field.empty());
+    }
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/tests/control/failure_test.cpp
@@ -0,0 +1,664 @@
+// Each failure by name: what is provoked, and what callers then see.
+
+#include "tests/support/world.h"
+
+#include <gtest/gtest.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace boragepath {
+
+namespace {
+
+constexpr Seconds StartTime{8};
+constexpr Seconds LongEnough{120};
+
+/** Three VMs with an entry in force, and one program of three calls. */
+class FailureTest : public testing::Test
+{
+protected:
+    explicit FailureTest(std::size_t vms = 3, Mechanisms mechanisms = {})
+        : m_world(11, vms, mechanisms)
+    {
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            m_world.start(vm);
+        }
+        m_world.run(StartTime);
+        m_world.putEntry(m_world.makeEntry("entry"));
+        m_world.run(Seconds(2));
+    }
+
+    static Script scriptOf(std::vector<ScriptCall> calls)
+    {
+        Script script;
+        script.calls = std::move(calls);
+        return script;
+    }
+
+    static ScriptCall modelCall(Milliseconds pause = Milliseconds(0))
+    {
+        ScriptCall call;
+        call.pause = pause;
+        return call;
+    }
+
+    static ScriptCall onceOnlyCall(Milliseconds pause = Milliseconds(0))
+    {
+        ScriptCall call;
+        call.nonIdempotent = true;
+        call.pause = pause;
+        return call;
+    }
+
+    bool finishAll()
+    {
+        return m_world.runUntil([this] { return m_world.allScriptsEnded(); }, LongEnough);
+    }
+
+    const ScriptResult &result() { return m_world.results().at("entry/program"); }
+    std::size_t owner() { return m_world.ownerOf("entry", "program"); }
+    std::size_t other() { return (owner() + 1) % 3; }
+
+    void expectNoBreach()
+    {
+        EXPECT_TRUE(m_world.violations().empty()) << m_world.violations().front();
+    }
+
+    World m_world;
+};
+
+bool writesTo(const Transaction &transaction, const std::string &part)
+{
+    return std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                       [&](const Write &write) { return absl::StrContains(write.key, part); });
+}
+
+} // namespace
+
+// --- Owners that die -------------------------------------------------------
+
+TEST_F(FailureTest, OwnerKilledBetweenTurns)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall(Seconds(5)), modelCall()}));
+    m_world.run(Seconds(2));
+    const std::size_t first = owner();
+    {
+        SCOPED_TRACE("the owner dies in the program's tool pause");
+        m_world.kill(first);
+    }
+    {
+        SCOPED_TRACE("another VM takes the shard over and goes on with the same history");
+        ASSERT_TRUE(finishAll());
+        EXPECT_TRUE(result().finished);
+        EXPECT_NE(owner(), first);
+        expectNoBreach();
+    }
+}
+
+TEST_F(FailureTest, OwnerKilledAfterIntentBeforeSend)
+{
+    bool killed = false;
+    m_world.onDispatch([&](std::size_t vm, const BackendCall &call) {
+        if (call.isService && !killed) {
+            killed = true;
+            m_world.kill(vm);
+        }
+    });
+    m_world.runScript(scriptOf({modelCall(), onceOnlyCall(), modelCall()}));
+    ASSERT_TRUE(finishAll());
+    {
+        SCOPED_TRACE("the intent is durable, so nobody sends the call, and the caller is told");
+        EXPECT_EQ(result().verdicts[1], "may-have-run");
+        EXPECT_EQ(m_world.serviceRuns().count("entry.program.2"), 0U);
+    }
+    {
+        SCOPED_TRACE("the program goes on");
+        EXPECT_TRUE(result().finished);
+        expectNoBreach();
+    }
+}
+
+TEST_F(FailureTest, OwnerKilledAfterSendBeforeOutcome)
+{
+    m_world.runScript(scriptOf({onceOnlyCall(), modelCall()}));
+    m_world.runUntil([&] { return !m_world.serviceRuns().empty(); }, LongEnough);
+    m_world.kill(owner());
+    ASSERT_TRUE(finishAll());
+    EXPECT_EQ(result().verdicts[0], "may-have-run");
+    EXPECT_EQ(m_world.serviceRuns().at("entry.program.1"), 1);
+    EXPECT_TRUE(result().finished);
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, UnknownOutcomeStaysListedUntilAnOperatorResolvesIt)
+{
+    m_world.runScript(scriptOf({onceOnlyCall(), modelCall()}));
+    m_world.runUntil([&] { return !m_world.serviceRuns().empty(); }, LongEnough);
+    m_world.kill(owner());
+    ASSERT_TRUE(finishAll());
+    const ProgramKey key{EntryName("entry"), ProgramId("program")};
+    const std::string index = keys::intentIndex(key, CallNumber(1));
+    ASSERT_TRUE(m_world.store().valueOf(index).has_value());
+    bool resolved = false;
+    m_world.node(owner())->resolveIntent(key, CallNumber(1), true,
+                                         [&](bool done) { resolved = done; });
+    m_world.run(Seconds(2));
+    EXPECT_TRUE(resolved);
+    EXPECT_FALSE(m_world.store().valueOf(index).has_value());
+}
+
+// --- Owners that sleep -----------------------------------------------------
+
+TEST_F(FailureTest, OwnerPausedPastItsLeaseBeforeCommit)
+{
+    bool paused = false;
+    std::size_t sleeper = 0;
+    m_world.onTransact([&](std::size_t vm, const Transaction &transaction) {
+        if (!paused && writesTo(transaction, "/turn/")) {
+            paused = true;
+            sleeper = vm;
+            m_world.pause(vm);
+        }
+    });
+    m_world.runScript(scriptOf({modelCall(), modelCall(), modelCall()}));
+    m_world.run(Seconds(20));
+    ASSERT_TRUE(paused);
+    {
+        SCOPED_TRACE("the others fence the sleeper; it wakes and can record nothing");
+        m_world.resume(sleeper);
+    }
+    ASSERT_TRUE(finishAll());
+    EXPECT_TRUE(result().finished);
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, OwnerPausedBetweenLeaseCheckAndSend)
+{
+    bool paused = false;
+    std::size_t sleeper = 0;
+    m_world.onDispatch([&](std::size_t vm, const BackendCall &call) {
+        if (call.isService && !paused) {
+            paused = true;
+            sleeper = vm;
+            m_world.pause(vm);
+        }
+    });
+    m_world.runScript(scriptOf({onceOnlyCall(), modelCall()}));
+    m_world.run(Seconds(25));
+    ASSERT_TRUE(paused);
+    m_world.resume(sleeper);
+    ASSERT_TRUE(finishAll());
+    {
+        SCOPED_TRACE("woken, it sees that it is too late to send: the call ran at most once");
+        EXPECT_EQ(m_world.serviceRuns().count("entry.program.1"), 0U);
+        EXPECT_TRUE(result().finished);
+        expectNoBreach();
+    }
+}
+
+// --- Answers that are lost -------------------------------------------------
+
+TEST_F(FailureTest, LostAnswerOfEveryKindOfTransaction)
+{
+    int number = 0;
+    for (const std::string part : {"/turn/", "/intent/", "ledger/", "open/", "vm/", "grant/"}) {
+        SCOPED_TRACE(part);
+        // An entry of its own, so that budget must be drawn anew.
+        Script script = scriptOf({modelCall(), onceOnlyCall(), modelCall()});
+        script.entry = absl::StrCat("entry-", ++number);
+        m_world.putEntry(m_world.makeEntry(script.entry));
+        m_world.run(Seconds(2));
+        bool lost = false;
+        m_world.loseNextAnswer([&, part](const Transaction &transaction) {
+            lost = lost || writesTo(transaction, part);
+            return writesTo(transaction, part);
+        });
+        std::vector<FenceNumber> before;
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            before.push_back(m_world.node(vm)->fence());
+        }
+        m_world.runScript(script);
+        ASSERT_TRUE(finishAll());
+        EXPECT_TRUE(lost);
+        EXPECT_TRUE(m_world.results().at(script.entry + "/program").finished);
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            EXPECT_EQ(m_world.node(vm)->fence(), before[vm]) << "a lost answer fenced its VM";
+        }
+    }
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, LostAnswerOfAJoin)
+{
+    m_world.kill(0);
+    m_world.loseNextAnswer([](const Transaction &transaction) {
+        return writesTo(transaction, "shared/member/vm-1");
+    });
+    m_world.start(0);
+    m_world.run(Seconds(10));
+    ASSERT_TRUE(m_world.node(0)->leaseValid());
+    const std::optional<MemberRecord> member
+        = decodeMember(*m_world.store().valueOf(keys::member(VmId("vm-1"))));
+    EXPECT_EQ(member->fence, m_world.node(0)->fence());
+}
+
+TEST_F(FailureTest, LostAnswerOfACatalogueEdit)
+{
+    m_world.loseNextAnswer([](const Transaction &transaction) {
+        return writesTo(transaction, "shared/entry/second");
+    });
+    EditResult result;
+    m_world.node(0)->applyCatalogue({m_world.makeEntry("second")}, CatalogueRevision(),
+                                    [&](const EditResult &edit) { result = edit; });
+    m_world.run(Seconds(5));
+    EXPECT_EQ(result.kind, EditResult::Kind::Accepted);
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        EXPECT_NE(m_world.node(vm)->catalogue().find(EntryName("second")), nullptr);
+    }
+}
+
+// --- The store -------------------------------------------------------------
+
+TEST_F(FailureTest, StoreDownLongerThanTheLease)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall(Seconds(1)), onceOnlyCall(), modelCall()}));
+    m_world.run(Seconds(1));
+    m_world.storeOutage(Seconds(15));
+    m_world.run(Seconds(8));
+    {
+        SCOPED_TRACE("nobody may rely on a lease, and nobody is fenced");
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            EXPECT_FALSE(m_world.node(vm)->leaseValid());
+        }
+    }
+    {
+        SCOPED_TRACE("afterwards all go on as the same incarnations");
+        ASSERT_TRUE(finishAll());
+        EXPECT_TRUE(result().finished);
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            EXPECT_LE(m_world.node(vm)->fence().value(), 3U);
+        }
+        expectNoBreach();
+    }
+}
+
+TEST_F(FailureTest, NonIdempotentCallInAnOutageIsRefusedAsNotRun)
+{
+    m_world.storeOutage(Seconds(40));
+    m_world.run(Seconds(6));
+    Script script = scriptOf({onceOnlyCall()});
+    script.patience = Milliseconds(1'000);
+    m_world.runScript(script);
+    m_world.run(Seconds(10));
+    EXPECT_TRUE(m_world.serviceRuns().empty());
+    EXPECT_FALSE(result().finished);
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, StoreSlow)
+{
+    m_world.storeSlow(Seconds(20), Milliseconds(700));
+    m_world.runScript(scriptOf({modelCall(), onceOnlyCall(), modelCall()}));
+    ASSERT_TRUE(finishAll());
+    EXPECT_TRUE(result().finished);
+    EXPECT_EQ(m_world.serviceRuns().at("entry.program.2"), 1);
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, StoreDownWhileAnOwnerDies)
+{
+    m_world.runScript(scriptOf({modelCall(), onceOnlyCall(Seconds(1)), modelCall(Seconds(1))}));
+    m_world.run(Seconds(1));
+    m_world.storeOutage(Seconds(10));
+    m_world.kill(owner());
+    ASSERT_TRUE(finishAll());
+    EXPECT_TRUE(result().finished);
+    expectNoBreach();
+}
+
+// --- Cuts ------------------------------------------------------------------
+
+TEST_F(FailureTest, OwnerCutOffFromTheStoreOnly)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall(Seconds(12)), modelCall()}));
+    m_world.run(Seconds(2));
+    const std::size_t first = owner();
+    m_world.cutStore(first, true);
+    m_world.run(Seconds(12));
+    {
+        SCOPED_TRACE("it says so itself, is fenced, and its shards move");
+        EXPECT_NE(owner(), first);
+    }
+    ASSERT_TRUE(finishAll());
+    EXPECT_TRUE(result().finished);
+    m_world.cutStore(first, false);
+    m_world.run(Seconds(10));
+    {
+        SCOPED_TRACE("back at the store it becomes a new incarnation");
+        EXPECT_TRUE(m_world.node(first)->leaseValid());
+        EXPECT_GT(m_world.node(first)->fence().value(), 3U);
+        expectNoBreach();
+    }
+}
+
+TEST_F(FailureTest, OwnerCutOffFromItsPeersOnly)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall(Seconds(12)), modelCall()}));
+    m_world.run(Seconds(2));
+    const std::size_t first = owner();
+    const FenceNumber fence = m_world.node(first)->fence();
+    m_world.cutPeers(first, true);
+    m_world.run(Seconds(20));
+    {
+        SCOPED_TRACE("its row still changes, so it is not fenced and keeps its programs");
+        EXPECT_EQ(m_world.node(first)->fence(), fence);
+        EXPECT_EQ(owner(), first);
+    }
+    ASSERT_TRUE(finishAll());
+    EXPECT_TRUE(result().finished);
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, TwoObserversFenceAtTheSameTime)
+{
+    const std::size_t victim = 0;
+    const std::uint64_t before
+        = m_world.node(1)->gossip().fencedCount() + m_world.node(2)->gossip().fencedCount();
+    m_world.kill(victim);
+    m_world.run(Seconds(15));
+    const std::uint64_t after
+        = m_world.node(1)->gossip().fencedCount() + m_world.node(2)->gossip().fencedCount();
+    EXPECT_EQ(after - before, 1U) << "the row's condition lets only one of them succeed";
+}
+
+TEST_F(FailureTest, VmReplacedUnderTheSameAddress)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall(Seconds(4)), modelCall()}));
+    m_world.run(Seconds(1));
+    const std::size_t first = owner();
+    const FenceNumber fence = m_world.node(first)->fence();
+    m_world.kill(first);
+    m_world.start(first);
+    m_world.run(Seconds(3));
+    EXPECT_GT(m_world.node(first)->fence(), fence);
+    ASSERT_TRUE(finishAll());
+    EXPECT_TRUE(result().finished);
+    expectNoBreach();
+}
+
+// --- Operators -------------------------------------------------------------
+
+TEST_F(FailureTest, TwoOperatorsRace)
+{
+    Entry one = m_world.makeEntry("entry");
+    one.callsPerProgram = 11;
+    Entry two = m_world.makeEntry("entry");
+    two.callsPerProgram = 22;
+    EditResult first;
+    EditResult second;
+    m_world.node(0)->applyCatalogue({one}, CatalogueRevision(),
+                                    [&](const EditResult &edit) { first = edit; });
+    m_world.node(1)->applyCatalogue({two}, CatalogueRevision(),
+                                    [&](const EditResult &edit) { second = edit; });
+    m_world.run(Seconds(5));
+    const bool firstWon = first.kind == EditResult::Kind::Accepted;
+    const bool secondWon = second.kind == EditResult::Kind::Accepted;
+    EXPECT_NE(firstWon, secondWon);
+    EXPECT_EQ((firstWon ? second : first).kind, EditResult::Kind::Conflict);
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        const Entry *entry = m_world.node(vm)->catalogue().find(EntryName("entry"));
+        EXPECT_EQ(entry->callsPerProgram, firstWon ? 11 : 22);
+    }
+}
+
+TEST_F(FailureTest, ChangeIsInForceEverywhereWithinFiveSeconds)
+{
+    Entry disabled = m_world.makeEntry("entry");
+    disabled.enabled = false;
+    m_world.putEntry(disabled, 1);
+    m_world.run(Seconds(5));
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        EXPECT_FALSE(m_world.node(vm)->catalogue().find(EntryName("entry"))->enabled);
+    }
+}
+
+TEST_F(FailureTest, CutOffVmTakesNoNewWorkUnderAnOldCatalogue)
+{
+    const std::size_t cut = owner();
+    m_world.cutStore(cut, true);
+    m_world.cutPeers(cut, true);
+    Entry disabled = m_world.makeEntry("entry");
+    disabled.enabled = false;
+    m_world.putEntry(disabled, other());
+    m_world.run(Seconds(6));
+    Script script = scriptOf({modelCall()});
+    script.patience = Milliseconds(2'000);
+    const SteadyTime before = m_world.clock().now();
+    m_world.runScript(script);
+    m_world.run(Seconds(10));
+    EXPECT_EQ(m_world.callsAt("model-1", before) + m_world.callsAt("model-2", before), 0);
+    expectNoBreach();
+}
+
+// --- Backend servers -------------------------------------------------------
+
+TEST_F(FailureTest, ReplicaHangs)
+{
+    m_world.hangReplica("model-1", Seconds(8));
+    m_world.runScript(scriptOf({modelCall(), modelCall(), modelCall(), modelCall()}));
+    ASSERT_TRUE(finishAll());
+    EXPECT_TRUE(result().finished);
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, ReplicaDiesInTheMiddleOfAStream)
+{
+    m_world.breakStreams("model-1", Seconds(6));
+    m_world.breakStreams("service-1", Seconds(6));
+    m_world.runScript(scriptOf({modelCall(), onceOnlyCall(), modelCall(), onceOnlyCall()}));
+    ASSERT_TRUE(finishAll());
+    {
+        SCOPED_TRACE("what may be repeated is; what may not is reported as unknown");
+        EXPECT_TRUE(result().finished);
+        for (const auto &[key, runs] : m_world.serviceRuns()) {
+            EXPECT_EQ(runs, 1) << key;
+        }
+        expectNoBreach();
+    }
+}
+
+TEST_F(FailureTest, LeavingReplicaGetsNoNewWork)
+{
+    for (int number = 0; number < 8; ++number) {
+        Script script;
+        script.program = absl::StrCat("steady-", number);
+        for (int call = 0; call < 20; ++call) {
+            script.calls.push_back(modelCall(Milliseconds(300)));
+        }
+        m_world.runScript(script);
+    }
+    m_world.run(Seconds(2));
+    ASSERT_GT(m_world.callsAt("model-1", SteadyTime()), 0);
+    m_world.setLeaving("model-1", true);
+    m_world.run(Seconds(3));
+    const SteadyTime told = m_world.clock().now();
+    ASSERT_TRUE(finishAll());
+    EXPECT_EQ(m_world.callsAt("model-1", told), 0);
+    expectNoBreach();
+}
+
+// --- Planned stops ---------------------------------------------------------
+
+TEST_F(FailureTest, PlannedStopCutsOffNoRequest)
+{
+    for (int number = 0; number < 12; ++number) {
+        Script script;
+        script.program = absl::StrCat("steady-", number);
+        for (int call = 0; call < 12; ++call) {
+            script.calls.push_back(call % 4 == 2 ? onceOnlyCall(Milliseconds(200))
+                                                 : modelCall(Milliseconds(200)));
+        }
+        m_world.runScript(script);
+    }
+    m_world.run(Seconds(2));
+    m_world.terminate(0);
+    ASSERT_TRUE(finishAll());
+    EXPECT_EQ(m_world.node(0), nullptr) << "the stop must come to its end";
+    for (const auto &[name, result] : m_world.results()) {
+        EXPECT_TRUE(result.finished) << name;
+        for (const std::string &verdict : result.verdicts) {
+            EXPECT_EQ(verdict, "ran") << name;
+        }
+    }
+    expectNoBreach();
+}
+
+TEST_F(FailureTest, PlannedStopLeavesNoUnaccountedMoney)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall(), modelCall()}));
+    ASSERT_TRUE(finishAll());
+    m_world.terminate(0);
+    m_world.terminate(1);
+    m_world.run(Seconds(30));
+    for (const auto &[key, row] : m_world.store().rows()) {
+        if (absl::StartsWith(key, "ledger/")) {
+            EXPECT_EQ(decodeLedger(row.value)->unaccounted, Amount{});
+        }
+    }
+}
+
+// --- Memory ----------------------------------------------------------------
+
+TEST_F(FailureTest, MemoryIsReleasedThoughTheOwnerDiedInBetween)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall()}));
+    ASSERT_TRUE(m_world.runUntil([&] { return m_world.allScriptsEnded(); }, LongEnough));
+    m_world.kill(owner());
+    m_world.run(Seconds(60));
+    for (const auto &[replica, programs] : m_world.engineMemory()) {
+        EXPECT_TRUE(programs.empty()) << replica;
+    }
+}
+
+TEST_F(FailureTest, AbandonedProgramIsEndedAndReleased)
+{
+    Script script = scriptOf({modelCall()});
+    script.saysLast = false;
+    m_world.runScript(script);
+    m_world.run(Seconds(30));
+    m_world.kill(owner());
+    m_world.run(Seconds(180));
+    for (const auto &[replica, programs] : m_world.engineMemory()) {
+        EXPECT_TRUE(programs.empty()) << replica;
+    }
+}
+
+TEST_F(FailureTest, LoopingProgramIsStoppedByItsLimit)
+{
+    Entry entry = m_world.makeEntry("entry");
+    entry.callsPerProgram = 5;
+    m_world.putEntry(entry);
+    m_world.run(Seconds(2));
+    Script script;
+    for (int call = 0; call < 9; ++call) {
+        script.calls.push_back(modelCall());
+    }
+    m_world.runScript(script);
+    ASSERT_TRUE(finishAll());
+    EXPECT_FALSE(result().finished);
+    EXPECT_EQ(result().verdicts.size(), 6U);
+    EXPECT_EQ(result().reasons.back(), Reason::CallsLimit);
+}
+
+// --- Money -----------------------------------------------------------------
+
+namespace {
+
+/** Runs many programs on a small budget while VMs die; gives what was spent. */
+Amount spendUnderFailures(World &world, const Entry &entry)
+{
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        world.start(vm);
+    }
+    world.run(StartTime);
+    world.putEntry(entry);
+    world.run(Seconds(2));
+    for (int number = 0; number < 20; ++number) {
+        Script script;
+        script.program = absl::StrCat("spender-", number);
+        for (int call = 0; call < 6; ++call) {
+            ScriptCall planned;
+            planned.pause = Milliseconds(100 * (number % 7));
+            script.calls.push_back(planned);
+        }
+        world.runScript(script);
+    }
+    world.run(Milliseconds(700));
+    world.kill(0);
+    world.run(Seconds(4));
+    world.start(0);
+    world.kill(1);
+    world.runUntil([&] { return world.allScriptsEnded(); }, LongEnough);
+    return world.spentFor(entry.name.value());
+}
+
+} // namespace
+
+TEST(BudgetTest, IsNeverExceededWhoeverDies)
+{
+    World world(5);
+    Entry entry = world.makeEntry("entry");
+    entry.budget = {1'500, 1'000'000};
+    const Amount spent = spendUnderFailures(world, entry);
+    EXPECT_LE(spent.tokens, entry.budget.tokens);
+    EXPECT_GT(spent.tokens, 0);
+    EXPECT_TRUE(world.violations().empty()) << world.violations().front();
+}
+
+TEST(BudgetTest, IsExceededWithoutReservations)
+{
+    Mechanisms mechanisms;
+    mechanisms.calls.reserve = false;
+    World world(5, 3, mechanisms);
+    Entry entry = world.makeEntry("entry");
+    entry.budget = {1'500, 1'000'000};
+    EXPECT_GT(spendUnderFailures(world, entry).tokens, entry.budget.tokens);
+}
+
+TEST_F(FailureTest, LoweredBudgetRecallsUnspentGrants)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall(Seconds(1)), modelCall(Seconds(1))}));
+    m_world.run(Seconds(4));
+    Entry entry = m_world.makeEntry("entry");
+    entry.budget = {1, 1};
+    m_world.putEntry(entry);
+    m_world.run(Seconds(5));
+    const Ledger &ledger = m_world.node(owner())->ledger();
+    const GrantView grant = ledger.viewOf(entry.name, ledger.periodOf(entry));
+    EXPECT_EQ(grant.amount, grant.spent + grant.reserved);
+    Script late = scriptOf({modelCall()});
+    late.program = "late";
+    m_world.runScript(late);
+    ASSERT_TRUE(finishAll());
+    EXPECT_EQ(m_world.results().at("entry/late").reasons.front(), Reason::BudgetExhausted);
+}
+
+// --- Who may see what ------------------------------------------------------
+
+TEST_F(FailureTest, WrongKeyYieldsNothingOfAProgram)
+{
+    m_world.runScript(scriptOf({modelCall(), modelCall()}));
+    ASSERT_TRUE(finishAll());
+    Entry stranger = m_world.makeEntry("stranger");
+    stranger.keyHash = "0";
+    m_world.putEntry(stranger);
+    m_world.run(Seconds(3));
+    Script script = scriptOf({modelCall()});
+    script.entry = "stranger";
+    m_world.runScript(script);
+    ASSERT_TRUE(finishAll());
+    EXPECT_EQ(m_world.results().at("stranger/program").reasons.front(), Reason::Unauthorized);
+}
+
+} // namespace boragepath
--- a/tests/control/promises_test.cpp
+++ b/tests/control/promises_test.cpp
@@ -25,7 +25,7 @@
 
 constexpr int FaultKinds = 12;
 constexpr int Vms = 3;
-constexpr Seconds FaultTime{30};
+constexpr Seconds FaultTime{18};
 constexpr Seconds SettleTime{240};
 constexpr Seconds StartTime{8};
 
@@ -105,7 +105,7 @@
     for (int number = 0; number < programs; ++number) {
         Script script;
         script.program = absl::StrCat("program-", number);
-        for (int call = 0; call < 6; ++call) {
+        for (int call = 0; call < 9; ++call) {
             ScriptCall planned;
             planned.nonIdempotent = call % 3 == 1;
             planned.pause = Milliseconds(200 + 700 * ((number + call) % 4));
@@ -178,7 +178,7 @@
     world.run(StartTime);
     world.putEntry(world.makeEntry("entry"));
     world.run(Seconds(2));
-    startPrograms(world, 6);
+    startPrograms(world, 8);
     runFaults(world, faults);
     world.runUntil([&] { return world.allScriptsEnded(); }, SettleTime);
     // Programs that never said their last are ended by the idle limit.
@@ -189,12 +189,14 @@
 
 rc::Gen<Fault> anyFault()
 {
-    return rc::gen::build<Fault>(
+    // RapidCheck's ranges grow with its size parameter; each fault must be possible at once.
+    constexpr int FullSize = 100;
+    return rc::gen::resize(FullSize, rc::gen::build<Fault>(
         rc::gen::set(&Fault::kind, rc::gen::inRange(0, FaultKinds)),
         rc::gen::set(&Fault::vm, rc::gen::inRange(0, Vms)),
         rc::gen::set(&Fault::atMillis,
                      rc::gen::inRange(0, static_cast<int>(Milliseconds(FaultTime).count()))),
-        rc::gen::set(&Fault::lengthMillis, rc::gen::inRange(100, 9'000)));
+        rc::gen::set(&Fault::lengthMillis, rc::gen::inRange(100, 9'000))));
 }
 
 } // namespace
@@ -202,7 +204,7 @@
 RC_GTEST_PROP(Promises, HoldUnderRandomFaults, ())
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-    const auto count = *rc::gen::inRange(0, 6);
+    const auto count = *rc::gen::resize(100, rc::gen::inRange(0, 6));
     const auto faults = *rc::gen::container<std::vector<Fault>>(count, anyFault());
     const std::vector<std::string> breaches = breachesUnder(seed, faults);
     RC_LOG() << "seed " << seed << " faults " << describe(faults) << "\n"
@@ -210,4 +212,51 @@
     RC_ASSERT(breaches.empty());
 }
 
+namespace {
+
+std::vector<Fault> randomFaults(std::mt19937_64 &random)
+{
+    std::vector<Fault> faults(1 + random() % 5);
+    for (Fault &fault : faults) {
+        fault.kind = static_cast<int>(random() % FaultKinds);
+        fault.vm = static_cast<int>(random() % Vms);
+        fault.atMillis = static_cast<int>(random() % 18'000);
+        fault.lengthMillis = 100 + static_cast<int>(random() % 9'000);
+    }
+    return faults;
+}
+
+/** Cases until the first breach, or 0 if @p most cases show none. */
+int casesUntilBreach(Mechanisms mechanisms, int most)
+{
+    std::mt19937_64 random(20261203);
+    for (int number = 1; number <= most; ++number) {
+        const std::vector<Fault> faults = randomFaults(random);
+        if (!breachesUnder(random(), faults, mechanisms).empty()) {
+            return number;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+// The same random faults must find out when a mechanism is missing.
+TEST(PromisesWithoutAMechanism, AreBrokenByRandomFaults)
+{
+    constexpr int Most = 300;
+    Mechanisms noIntents;
+    noIntents.calls.intents = false;
+    EXPECT_GT(casesUntilBreach(noIntents, Most), 0) << "without intents";
+    Mechanisms noFence;
+    noFence.commits.fenceCondition = false;
+    EXPECT_GT(casesUntilBreach(noFence, Most), 0) << "without the fence condition";
+    Mechanisms noRecord;
+    noRecord.calls.recordBeforeAnswer = false;
+    EXPECT_GT(casesUntilBreach(noRecord, Most), 0) << "without recording before answering";
+    Mechanisms noRelease;
+    noRelease.calls.release = false;
+    EXPECT_GT(casesUntilBreach(noRelease, Most), 0) << "without release";
+}
+
 } // namespace boragepath
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -90,6 +90,9 @@
 
     void transact(std::uint64_t id, const Transaction &transaction) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         const std::size_t vm = m_vm;
         const std::uint64_t process = m_process;
@@ -130,6 +133,9 @@
 
     void read(std::uint64_t id, const RangeRequest &request) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         const std::size_t vm = m_vm;
         const std::uint64_t process = m_process;
@@ -151,6 +157,9 @@
 
     void sendPeer(const Endpoint &to, const peers::Envelope &envelope) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         for (std::size_t vm = 0; vm < world.m_vms.size(); ++vm) {
             Vm &target = world.m_vms[vm];
@@ -164,6 +173,9 @@
 
     void dispatch(CallHandle handle, const BackendCall &call) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         if (world.m_dispatchHook) {
             world.m_dispatchHook(m_vm, call);
@@ -178,6 +190,9 @@
 
     void answer(CallHandle handle, const CallAnswer &answer) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         const auto attempt = world.m_attempts.find(handle);
         if (attempt == world.m_attempts.end()) {
@@ -202,6 +217,9 @@
 
     void relay(CallHandle handle, const Endpoint &owner) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         const auto attempt = world.m_attempts.find(handle);
         if (attempt == world.m_attempts.end()) {
@@ -220,6 +238,9 @@
     void releaseMemory(std::uint64_t id, const ReplicaSettings &replica,
                        const ProgramKey &program) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         const std::size_t vm = m_vm;
         const std::uint64_t process = m_process;
@@ -238,6 +259,9 @@
 
     void readHeld(std::uint64_t id, const ReplicaSettings &replica) override
     {
+        if (m_world.deadOrGone(m_vm, m_process)) {
+            return;
+        }
         World &world = m_world;
         const std::size_t vm = m_vm;
         const std::string name = replica.id.value();
@@ -277,7 +301,12 @@
     }
 }
 
-World::~World() = default;
+World::~World()
+{
+    for (Vm &vm : m_vms) {
+        m_graveyard.push_back(std::move(vm.node));
+    }
+}
 
 // --- Time ------------------------------------------------------------------
 
@@ -363,6 +392,7 @@
     target.paused = false;
     target.frozen.clear();
     target.seenRevision = {};
+    m_deadShells.push_back(std::move(target.shell));
     target.shell = std::make_unique<Shell>(*this, vm, target.process);
     target.node = std::make_unique<Node>(target.settings, m_clock, *target.shell, m_random(),
                                          m_mechanisms);
@@ -374,7 +404,7 @@
 {
     Vm &target = m_vms[vm];
     const std::uint64_t process = target.process;
-    target.node.reset();
+    m_graveyard.push_back(std::move(target.node));
     target.paused = false;
     target.frozen.clear();
     // Connections of callers break a moment later.
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -188,6 +188,9 @@
     ManualClock m_clock;
     TableStore m_store;
     std::vector<Vm> m_vms;
+    /** Cores of killed processes; they may still be on the stack. */
+    std::vector<std::unique_ptr<Node>> m_graveyard;
+    std::vector<std::unique_ptr<Shell>> m_deadShells;
     std::priority_queue<Event> m_events;
     std::uint64_t m_nextOrder = 1;
     std::uint64_t m_nextProcess = 1;
