Add the load tool: mixes, experiments, comparison

Open-loop arrivals of the registry's and the spa's programs, checks of the promises against the stand-in, latency by class, waste, an ideal bound.

A first run at 6/s reported 7 broken promises of memory; all were of programs that had been abandoned and had not ended, so that check now asks only of programs that said their last.

--- /dev/null
+++ b/misc/bench.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Compares the policies on both mixes at 80 % and 120 % of the engines' capacity.
+# Usage: misc/bench.sh BUILD_FOLDER [SECONDS] ["MIX ..."] ["POLICY ..."]
+# Writes BUILD_FOLDER/bench/summary.json and chart.svg; takes about a minute a run.
+set -euo pipefail
+
+build_folder=$1
+seconds=${2:-20}
+mixes=${3:-registry spa}
+policies=${4:-round-robin least-load prefix-fifo program}
+
+# Programs a second that use 100 % of the engines' useful batch; see
+# docs/design/policy.md for how they were found.
+declare -A capacity=([registry]=62 [spa]=100)
+
+mkdir -p "$build_folder/bench"
+results=()
+for mix in $mixes; do
+    for percent in 80 120; do
+        rate=$(awk "BEGIN { print ${capacity[$mix]} * $percent / 100 }")
+        for policy in $policies; do
+            result="$build_folder/bench/$mix-$percent-$policy.json"
+            misc/experiment.sh "$build_folder" "$result" "$mix" "$policy" "$rate" "$seconds" \
+                >"$result.log" 2>&1 || echo "$result: see $result.log" >&2
+            results+=("$result")
+        done
+    done
+done
+"$build_folder/boragepath-load" compare --out "$build_folder/bench" "${results[@]}"
--- a/standin/standin_servers.cpp
+++ b/standin/standin_servers.cpp
@@ -302,6 +302,8 @@
         }
         asio::steady_timer timer(m_context, next);
         co_await timer.async_wait(asio::use_awaitable);
+        const auto lag = std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - next);
+        m_longestLag = std::max(m_longestLag, lag);
         for (EngineEvent &event : events) {
             const auto channel = m_channels.find(event.id);
             if (channel != m_channels.end()) {
@@ -534,6 +536,8 @@
 {
     EngineCounters sum;
     json::array engines;
+    json::array held;
+    Milliseconds longestLag{0};
     for (const auto &[id, engine] : m_engines) {
         const EngineCounters &one = engine->model().counters();
         sum.prefillTokens += one.prefillTokens;
@@ -545,6 +549,11 @@
         sum.finished += one.finished;
         sum.cancelled += one.cancelled;
         sum.releasedTokens += one.releasedTokens;
+        longestLag = std::max(longestLag, engine->longestLag());
+        for (const std::string &program :
+             engine->model().heldPrograms(engine->model().stepNumber() + 1)) {
+            held.emplace_back(program);
+        }
         engines.push_back(json::object{
             {"replica", id},
             {"running", engine->model().running()},
@@ -568,6 +577,8 @@
         {"released_tokens", sum.releasedTokens},
         {"table_transactions", m_table.store().transactions()},
         {"table_row_writes", m_table.store().rowWrites()},
+        {"step_lag_ms_max", longestLag.count()},
+        {"held_programs", std::move(held)},
         {"engines", std::move(engines)},
         {"service_runs", std::move(runs)},
     });
--- a/standin/standin_servers.h
+++ b/standin/standin_servers.h
@@ -57,6 +57,8 @@
 
     Faults &faults() { return m_faults; }
     const EngineModel &model() const { return m_model; }
+    /** How late steps were at most: a slow machine, not a slow engine. */
+    Milliseconds longestLag() const { return m_longestLag; }
     /** Ends all streams at once, as if the process had died and come back empty. */
     void die();
 
@@ -75,6 +77,7 @@
     EngineModel m_model;
     Faults m_faults;
     std::uint64_t m_nextId = 1;
+    Milliseconds m_longestLag{0};
     std::map<std::uint64_t, std::shared_ptr<Channel>> m_channels;
     boost::asio::steady_timer m_wake;
     /** Step numbers by time, to tell how long a program has lain idle. */
