Never claim the shard of an incarnation not yet heard of

Ruled out: a stale read while loading (the reads were right), a lost answer (none was lost).

Change: a shard is free only if its owner's incarnation is known to have ended, and a claim is conditional on the row that says so.

Also: fuzzing found that a parser error could name a place behind its input (settings); clamped.

--- a/callers/answers.h
+++ b/callers/answers.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/effects.h"
-#include "net/http_message.h"
+#include "net/http_types.h"
 
 #include <string>
 
--- a/callers/call_parser.h
+++ b/callers/call_parser.h
@@ -2,7 +2,7 @@
 
 #include "control/program.h"
 #include "core/verdict.h"
-#include "net/http_message.h"
+#include "net/http_types.h"
 
 #include <variant>
 
--- a/callers/caller_api.cpp
+++ b/callers/caller_api.cpp
@@ -238,8 +238,13 @@
         co_return true;
     };
     const Settings &settings = m_gateway.settings();
-    const HttpResult result = co_await httpStream(owner, relayedRequest(request, settings.vm),
-                                                  settings.idleConnectionLimit, sink);
+    const HttpRequest passed = relayedRequest(request, settings.vm);
+    HttpResult result;
+    if (settings.tlsKeyFile.empty()) {
+        result = co_await httpStream(owner, passed, settings.idleConnectionLimit, sink);
+    } else {
+        result = co_await httpsStream(owner, passed, settings.idleConnectionLimit, sink);
+    }
     if (begun) {
         if (!result.complete) {
             CallAnswer lost;
--- a/callers/caller_api.h
+++ b/callers/caller_api.h
@@ -3,7 +3,7 @@
 #include "callers/call_gateway.h"
 #include "callers/call_parser.h"
 #include "core/metrics.h"
-#include "net/http_message.h"
+#include "net/http_responder.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/control/commit_queue.cpp
+++ b/control/commit_queue.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds FirstBackoff{20};
 constexpr Milliseconds LongestBackoff{1'000};
 constexpr int MaxBackoffDoublings = 6;
+/** Commits that a VM may start in a row after it was quiet. */
+constexpr double MostAllowance = 8;
 /** The own row is written at least this often in a lease term. */
 constexpr int RenewalsPerTerm = 3;
 
@@ -35,6 +37,8 @@
     m_attempt = attempt;
     m_leaseEnd = joinSentAt + m_config.leaseTerm;
     m_lastCommitStart = joinSentAt;
+    m_allowance = MostAllowance;
+    m_allowanceAt = m_clock.now();
     m_failures = 0;
 }
 
@@ -92,13 +96,27 @@
         return;
     }
     const bool renewalDue = now >= m_lastCommitStart + m_config.leaseTerm / RenewalsPerTerm;
-    const bool spaced = now >= m_lastCommitStart + m_config.spacing;
-    if (renewalDue || (spaced && !m_waiting.empty())) {
+    // A quiet VM commits at once, a busy one as often as its share allows.
+    if (renewalDue || (!m_waiting.empty() && takeAllowance())) {
         buildBatch();
         send();
     }
 }
 
+bool CommitQueue::takeAllowance()
+{
+    const SteadyTime now = m_clock.now();
+    const double gained = std::chrono::duration<double>(now - m_allowanceAt)
+        / std::chrono::duration<double>(m_config.spacing);
+    m_allowance = std::min(MostAllowance, m_allowance + gained);
+    m_allowanceAt = now;
+    if (m_allowance < 1) {
+        return false;
+    }
+    m_allowance -= 1;
+    return true;
+}
+
 void CommitQueue::buildBatch()
 {
     m_attempt += 1;
@@ -249,7 +267,7 @@
             failed.push_back(std::move(*item));
         }
     }
-    m_lastCommitStart = std::min(m_lastCommitStart, m_clock.now() - m_config.spacing);
+    m_allowance = std::max(m_allowance, 1.0);
     for (auto item = failed.rbegin(); item != failed.rend(); ++item) {
         CommitResult result{CommitResult::Kind::Conflict, {}, {}};
         for (const Condition &condition : item->conditions) {
--- a/control/commit_queue.h
+++ b/control/commit_queue.h
@@ -75,7 +75,7 @@
     {
         VmId vm;
         Duration leaseTerm;
-        /** Shortest time between the starts of two commits. */
+        /** Mean time between two commits that this VM's share of the store allows. */
         Duration spacing;
         std::int64_t pendingBytesLimit = 0;
         CommitMechanisms mechanisms;
@@ -118,6 +118,7 @@
     void settleConflict(const TransactionOutcome &outcome);
     void loseRow();
     void scheduleResend();
+    bool takeAllowance();
     std::int64_t bytesOf(const CommitItem &item) const;
 
     Config m_config;
@@ -140,6 +141,9 @@
     SteadyTime m_firstSent;
     SteadyTime m_nextSend;
     SteadyTime m_lastCommitStart;
+    /** Commits that may start at once; grows by one with each spacing. */
+    double m_allowance = 0;
+    SteadyTime m_allowanceAt;
     int m_failures = 0;
     CommitStatistics m_statistics;
 };
--- a/control/members.cpp
+++ b/control/members.cpp
@@ -76,6 +76,15 @@
     return member != nullptr && member->fence == fence && member->state != MemberState::Gone;
 }
 
+bool Members::isGone(const VmId &vm, FenceNumber fence) const
+{
+    const MemberRecord *member = find(vm);
+    if (member == nullptr) {
+        return false;
+    }
+    return member->fence > fence || (member->fence == fence && member->state == MemberState::Gone);
+}
+
 const VmId &Members::wantedOwner(ShardIndex shard) const
 {
     return m_owners[shard.value()];
--- a/control/members.h
+++ b/control/members.h
@@ -27,6 +27,12 @@
     RowRevision rowOf(const VmId &vm) const;
     /** True if this incarnation may still own something. */
     bool holds(const VmId &vm, FenceNumber fence) const;
+    /**
+     * True if this incarnation is known to have ended: its VM's row says so, or
+     * belongs to a later incarnation. An incarnation later than the row known
+     * here is not gone; this VM just has not heard of it yet.
+     */
+    bool isGone(const VmId &vm, FenceNumber fence) const;
     const std::vector<VmId> &live() const { return m_live; }
     std::size_t liveCount() const { return m_live.size(); }
     /** All members, gone ones too. */
--- a/control/policy.cpp
+++ b/control/policy.cpp
@@ -20,6 +20,8 @@
 /** Replicas looked at in a pool too large to look at all. */
 constexpr std::size_t FewReplicas = 16;
 constexpr std::size_t SampledReplicas = 4;
+/** Cost of a second copy of a prefix, over that of computing it. */
+constexpr double CopyCost = 2.0;
 /** Share of the mean service that a full batch adds to a call beside an empty one. */
 constexpr double BatchSlowdown = 0.25;
 
@@ -91,7 +93,10 @@
         if (!holdsShared) {
             tokensToCompute += static_cast<double>(question.sharedTokens);
         }
-        const double recompute = tokensToCompute * question.prefillMillisPerToken;
+        // Computing a prompt again also holds up every call in the same batch, and
+        // the copy left behind takes memory from other programs.
+        const double recompute =
+            tokensToCompute * question.prefillMillisPerToken * CopyCost * (1 + view.running);
         const double crowd = BatchSlowdown * question.meanServiceMillis
             * std::min(1.0, view.running / question.usefulBatch);
         const double cost = wait + recompute + crowd + (view.sameZone ? 0 : OtherZoneMillis);
--- a/control/shard_keeper.cpp
+++ b/control/shard_keeper.cpp
@@ -79,7 +79,8 @@
             }
             continue;
         }
-        const bool isFree = !m_members.holds(shard.record.owner, shard.record.fence);
+        const bool isFree = shard.record.owner.value().empty()
+            || m_members.isGone(shard.record.owner, shard.record.fence);
         if (isFree && wanted == m_settings.vm) {
             claim(index);
         }
@@ -96,6 +97,11 @@
     const ShardRecord wanted{m_settings.vm, m_commits.fence(), shard.record.epoch + 1};
     CommitItem item;
     item.conditions.push_back({keys::shard(index), shard.row});
+    const VmId &before = shard.record.owner;
+    if (!before.value().empty() && before != m_settings.vm) {
+        // The owner must still be gone when this commits: it may join again meanwhile.
+        item.conditions.push_back({keys::member(before), m_members.rowOf(before)});
+    }
     item.writes.push_back({keys::shard(index), encode(wanted)});
     item.done = [this, index, wanted](const CommitResult &result) {
         afterChange(index, wanted, result);
--- a/core/object_reader.cpp
+++ b/core/object_reader.cpp
@@ -190,7 +190,9 @@
         parser.finish(error);
     }
     if (error) {
-        const auto line = 1 + std::count(input.begin(), input.begin() + consumed, '\n');
+        // On some errors the parser claims more than it was given.
+        const auto read = static_cast<std::ptrdiff_t>(std::min(consumed, input.size()));
+        const auto line = 1 + std::count(input.begin(), input.begin() + read, '\n');
         return absl::InvalidArgumentError(absl::StrCat("line ", line, ": ", error.message()));
     }
     result = parser.release();
--- a/load/caller_client.h
+++ b/load/caller_client.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/settings.h"
-#include "net/http_message.h"
+#include "net/http_types.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/misc/check_style.sh
+++ b/misc/check_style.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 mapfile -t sources < <(git ls-files --cached --others --exclude-standard '*.h' '*.cpp' \
-    | grep -v '^peers/gen/')
+    | grep -v '^peers/gen/' | sort -u)
 
 if [ "${1:-}" = "--fix" ]; then
     clang-format -i "${sources[@]}"
--- a/misc/install_packages.sh
+++ b/misc/install_packages.sh
@@ -6,7 +6,7 @@
 packages=(
     ca-certificates git make
     g++ clang cmake ninja-build
-    clang-format clang-tidy libclang-rt-14-dev
+    clang-format clang-tidy-16 libclang-rt-14-dev curl
     libboost1.81-dev libboost-json1.81-dev
     libthrift-dev
     libdocopt-dev libeasyloggingpp-dev libabsl-dev
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -95,6 +95,71 @@
     result.complete = true;
 }
 
+/** Sends @p message and passes the response on in parts. */
+template <typename Stream>
+asio::awaitable<void>
+exchangeInParts(Stream &stream, const http::request<http::string_body> &message,
+                Milliseconds silenceLimit, const HttpSink &sink, HttpResult &result)
+{
+    beast::error_code error;
+    beast::tcp_stream &lowest = beast::get_lowest_layer(stream);
+    lowest.expires_after(silenceLimit);
+    result.sent = true;
+    co_await http::async_write(stream, message, redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "write: " + error.message();
+        co_return;
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    lowest.expires_after(silenceLimit);
+    co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "read: " + error.message();
+        co_return;
+    }
+    result.response = headerOf(parser.get());
+    if (sink.onHeader && !co_await sink.onHeader(result.response)) {
+        result.error = "ended by the receiver";
+        co_return;
+    }
+    std::string part(ReadSize, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        lowest.expires_after(silenceLimit);
+        co_await http::async_read_some(stream, buffer, parser,
+                                       redirect_error(use_awaitable, error));
+        if (error && error != http::error::need_buffer) {
+            result.error = "read: " + error.message();
+            co_return;
+        }
+        const std::size_t size = part.size() - parser.get().body().size;
+        const std::string data = part.substr(0, size);
+        if (size > 0 && !co_await sink.onData(data)) {
+            result.error = "ended by the receiver";
+            co_return;
+        }
+    }
+    result.complete = true;
+}
+
+asio::awaitable<bool> connectTls(beast::ssl_stream<beast::tcp_stream> &stream,
+                                 const Endpoint &endpoint, Milliseconds limit, HttpResult &result)
+{
+    if (!co_await connectStream(beast::get_lowest_layer(stream), endpoint, limit, result)) {
+        co_return false;
+    }
+    beast::error_code error;
+    co_await stream.async_handshake(asio::ssl::stream_base::client,
+                                    redirect_error(use_awaitable, error));
+    if (error) {
+        result.error = "TLS: " + error.message();
+    }
+    co_return !error;
+}
+
 } // namespace
 
 asio::awaitable<HttpResult> httpCall(Endpoint endpoint, HttpRequest request, Milliseconds timeout)
@@ -114,14 +179,7 @@
     HttpResult result;
     asio::ssl::context context(asio::ssl::context::tls_client);
     beast::ssl_stream<beast::tcp_stream> stream(co_await asio::this_coro::executor, context);
-    if (!co_await connectStream(beast::get_lowest_layer(stream), endpoint, timeout, result)) {
-        co_return result;
-    }
-    beast::error_code error;
-    co_await stream.async_handshake(asio::ssl::stream_base::client,
-                                    redirect_error(use_awaitable, error));
-    if (error) {
-        result.error = "TLS: " + error.message();
+    if (!co_await connectTls(stream, endpoint, timeout, result)) {
         co_return result;
     }
     const auto message = makeMessage(endpoint, request, false);
@@ -143,46 +201,21 @@
         co_return result;
     }
     const auto message = makeMessage(endpoint, request, false);
-    beast::error_code error;
-    stream.expires_after(silenceLimit);
-    result.sent = true;
-    co_await http::async_write(stream, message, redirect_error(use_awaitable, error));
-    if (error) {
-        result.error = "write: " + error.message();
-        co_return result;
-    }
-    beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    stream.expires_after(silenceLimit);
-    co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
-    if (error) {
-        result.error = "read: " + error.message();
-        co_return result;
-    }
-    result.response = headerOf(parser.get());
-    if (sink.onHeader && !co_await sink.onHeader(result.response)) {
-        result.error = "ended by the receiver";
+    co_await exchangeInParts(stream, message, silenceLimit, sink, result);
+    co_return result;
+}
+
+asio::awaitable<HttpResult> httpsStream(Endpoint endpoint, HttpRequest request,
+                                        Milliseconds silenceLimit, HttpSink sink)
+{
+    HttpResult result;
+    asio::ssl::context context(asio::ssl::context::tls_client);
+    beast::ssl_stream<beast::tcp_stream> stream(co_await asio::this_coro::executor, context);
+    if (!co_await connectTls(stream, endpoint, silenceLimit, result)) {
         co_return result;
     }
-    std::string part(ReadSize, '\0');
-    while (!parser.is_done()) {
-        parser.get().body().data = part.data();
-        parser.get().body().size = part.size();
-        stream.expires_after(silenceLimit);
-        co_await http::async_read_some(stream, buffer, parser,
-                                       redirect_error(use_awaitable, error));
-        if (error && error != http::error::need_buffer) {
-            result.error = "read: " + error.message();
-            co_return result;
-        }
-        const std::size_t size = part.size() - parser.get().body().size;
-        if (size > 0 && !co_await sink.onData(part.substr(0, size))) {
-            result.error = "ended by the receiver";
-            co_return result;
-        }
-    }
-    result.complete = true;
+    const auto message = makeMessage(endpoint, request, false);
+    co_await exchangeInParts(stream, message, silenceLimit, sink, result);
     co_return result;
 }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/settings.h"
-#include "net/http_message.h"
+#include "net/http_types.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -47,6 +47,10 @@
                                               Milliseconds silenceLimit, HttpSink sink,
                                               std::function<bool()> maySend = nullptr);
 
+/** httpStream() over TLS. */
+boost::asio::awaitable<HttpResult> httpsStream(Endpoint endpoint, HttpRequest request,
+                                               Milliseconds silenceLimit, HttpSink sink);
+
 /** Keeps connections to one server open between requests; for one strand. */
 class HttpPool
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/settings.h"
-#include "net/http_message.h"
+#include "net/http_responder.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/net/http_message.cpp
+++ b/net/http_types.cpp
@@ -1,4 +1,4 @@
-#include "net/http_message.h"
+#include "net/http_types.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_split.h>
--- a/operators/operator_api.h
+++ b/operators/operator_api.h
@@ -2,7 +2,7 @@
 
 #include "callers/call_gateway.h"
 #include "core/metrics.h"
-#include "net/http_message.h"
+#include "net/http_responder.h"
 
 #include <boost/asio/awaitable.hpp>
 
