--- a/control/call_engine.h
+++ b/control/call_engine.h
@@ -103,6 +103,8 @@
     bool shardQuiet(ShardIndex shard) const;
     /** Starts nothing more on its own in a shard that is being handed over. */
     void freezeShard(ShardIndex shard) { m_frozen.insert(shard); }
+    /** Takes freezeShard() back, after a hand-over that did not come about. */
+    void thawShard(ShardIndex shard) { m_frozen.erase(shard); }
     /** Forgets the programs of a shard that belongs to another VM now. */
     void forgetShard(ShardIndex shard);
     /** Ends every call as this incarnation can record nothing any more. */
--- a/control/node.cpp
+++ b/control/node.cpp
@@ -109,6 +109,7 @@
                     incarnation.joinSentAt);
     takeMember(incarnation.member, incarnation.ownRow);
     m_feed.noteRow(incarnation.ownRow);
+    m_shards.onJoined();
     m_effects.log("joined", absl::StrCat("fence ", incarnation.fence.value()));
 }
 
--- a/control/shard_keeper.cpp
+++ b/control/shard_keeper.cpp
@@ -58,6 +58,13 @@
     noteOwnership(index);
 }
 
+void ShardKeeper::onJoined()
+{
+    for (std::uint32_t number = 0; number < m_shards.size(); ++number) {
+        noteOwnership(ShardIndex(number));
+    }
+}
+
 void ShardKeeper::tick()
 {
     const SteadyTime now = m_clock.now();
@@ -134,6 +141,7 @@
         apply(index, wanted, result.revision);
         return;
     }
+    m_engine.thawShard(index);
     const auto current = result.current.find(keys::shard(index));
     if (current == result.current.end()) {
         return;
--- a/control/shard_keeper.h
+++ b/control/shard_keeper.h
@@ -25,6 +25,9 @@
 
     /** Takes over one row of the table service. */
     void apply(ShardIndex shard, const ShardRecord &record, RowRevision row);
+    /** Takes note of shards that were given to this incarnation before it knew that it had joined.
+     */
+    void onJoined();
     /** Claims and hands over what is due. */
     void tick();
     /** Forgets what this incarnation owned. */
--- a/tests/control/failure_test.cpp
+++ b/tests/control/failure_test.cpp
@@ -242,6 +242,31 @@
     EXPECT_EQ(member->fence, m_world.node(0)->fence());
 }
 
+TEST_F(FailureTest, ShardGivenBeforeTheJoinIsKnownIsSwept)
+{
+    Script script = scriptOf({modelCall(), modelCall()});
+    script.saysLast = false;
+    m_world.runScript(script);
+    ASSERT_TRUE(finishAll());
+    const std::size_t first = owner();
+    m_world.kill(first);
+    m_world.run(Seconds(12));
+    ASSERT_NE(owner(), first);
+    {
+        SCOPED_TRACE("the join takes effect, its answer is lost, the shard comes back meanwhile");
+        const std::string row = keys::member(m_world.settingsOf(first).vm);
+        m_world.loseNextAnswer(
+            [row](const Transaction &transaction) { return writesTo(transaction, row); });
+        m_world.start(first);
+        m_world.run(Seconds(5));
+        ASSERT_EQ(owner(), first);
+    }
+    m_world.run(Seconds(90));
+    for (const auto &[replica, programs] : m_world.engineMemory()) {
+        EXPECT_TRUE(programs.empty()) << replica;
+    }
+}
+
 TEST_F(FailureTest, LostAnswerOfACatalogueEdit)
 {
     m_world.loseNextAnswer([](const Transaction &transaction) {
--- a/tests/control/promises_test.cpp
+++ b/tests/control/promises_test.cpp
@@ -219,6 +219,10 @@
     // A VM claimed the shard of an incarnation that it had not heard of yet.
     const std::vector<Fault> rejoin = {{0, 0, 3088, 5634}, {3, 0, 8928, 338}, {0, 0, 6326, 2396}};
     EXPECT_TRUE(breachesUnder(27, rejoin).empty());
+    // A VM was given a shard before it knew that it had joined, and never swept it.
+    const std::vector<Fault> lateJoin = {
+        {11, 0, 9563, 6021}, {0, 1, 14178, 4145}, {7, 2, 13449, 6543}, {7, 2, 16580, 4082}};
+    EXPECT_TRUE(breachesUnder(79323526654740228ULL, lateJoin).empty());
 }
 
 namespace {
