--- a/control/catalogue.cpp
+++ b/control/catalogue.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::int64_t MaxAmount = 1'000'000'000'000'000;
-constexpr std::int64_t MaxPeriodHours = 24 * 366;
+constexpr std::int64_t MaxPeriodHours = 24LL * 366;
 constexpr std::int64_t MaxObjectiveMillis = 86'400'000;
 
 bool isPlainName(std::string_view name)
--- a/control/permit_client.cpp
+++ b/control/permit_client.cpp
@@ -77,7 +77,7 @@
     const PermitId id(m_nextId++);
     request.permit = static_cast<std::int64_t>(id.value());
     Ask &ask = m_asks[id];
-    ask.request = std::move(request);
+    ask.request = request;
     ask.usefulBatch = usefulBatch;
     ask.done = std::move(done);
     ask.since = m_clock.now();
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -8,6 +8,7 @@
 #include <boost/accumulators/statistics/sum.hpp>
 
 #include <array>
+#include <sstream>
 
 namespace boragepath {
 
--- a/load/caller_client.cpp
+++ b/load/caller_client.cpp
@@ -241,6 +241,7 @@
         CallReport report = co_await callOnce(spec, endpoint);
         report.attempts = attempt + 1;
         report.duration = SteadyClock::now() - started;
+        report.endedUnixMillis = unixMillis(std::chrono::system_clock::now());
         // Calls carry their number, so the same call may be sent again after a
         // loss: the system runs it at most once more, or answers from its record.
         const bool lost = !report.answered;
--- a/load/caller_client.h
+++ b/load/caller_client.h
@@ -47,6 +47,7 @@
     bool replayed = false;
     int attempts = 0;
     Duration duration{0};
+    std::int64_t endedUnixMillis = 0;
     Duration firstToken{0};
     Duration longestGap{0};
     Milliseconds retryAfter{0};
--- a/load/experiment.cpp
+++ b/load/experiment.cpp
@@ -69,9 +69,8 @@
     collected->running += 1;
     ProgramReport report = co_await runProgram(*client, program, CallPatience);
     collected->running -= 1;
-    const std::int64_t now = unixMillis(std::chrono::system_clock::now());
-    if (!report.calls.empty()) {
-        collected->calls.push_back({now, millis(report.calls.back().duration)});
+    for (const CallReport &call : report.calls) {
+        collected->calls.push_back({call.endedUnixMillis, millis(call.duration)});
     }
     collected->reports.push_back(std::move(report));
 }
--- a/load/mixes.cpp
+++ b/load/mixes.cpp
@@ -14,7 +14,7 @@
 constexpr int RegistryOffices = 12;
 constexpr double AbandonedShare = 0.03;
 constexpr double EndlessShare = 0.004;
-constexpr int SystemTextTokens = 200;
+constexpr std::size_t SystemTextBytes = 800;
 
 /** Draws the numbers of one workload. */
 class Draw
@@ -47,7 +47,7 @@
 std::string systemTextOf(const std::string &entry)
 {
     std::string text = absl::StrCat("You act for ", entry, ".");
-    while (text.size() < SystemTextTokens * 4) {
+    while (text.size() < SystemTextBytes) {
         absl::StrAppend(&text, " Rule ", text.size(), " of ", entry, ".");
     }
     return text;
--- a/misc/check_style.sh
+++ b/misc/check_style.sh
@@ -11,5 +11,23 @@
     exit 0
 fi
 
+build_folder=$1
 clang-format --dry-run --Werror "${sources[@]}"
 echo "formatting is clean"
+
+# The linter reads no precompiled header of another compiler, so it gets the
+# compile commands without it. Each file is checked again only when something
+# that it may depend on has changed.
+lint_folder="$build_folder/lint"
+mkdir -p "$lint_folder"
+sed -e 's/-include [^ ]*cmake_pch.hxx//' -e 's/-Winvalid-pch//' -e 's/-Wno-mismatched-new-delete//' \
+    "$build_folder/compile_commands.json" >"$lint_folder/compile_commands.json"
+stamp="$lint_folder/$(cat .clang-tidy "${sources[@]}" | sha256sum | cut -c1-16).clean"
+if [ -e "$stamp" ]; then
+    echo "lint is clean (nothing has changed)"
+    exit 0
+fi
+printf '%s\n' "${sources[@]}" | grep '\.cpp$' | grep -v '^tests/fuzz/' \
+    | xargs -P "$(nproc)" -n 1 clang-tidy-16 --quiet -p "$lint_folder" 2>"$lint_folder/errors"
+touch "$stamp"
+echo "lint is clean"
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -22,7 +22,7 @@
 
 constexpr unsigned HttpVersion11 = 11;
 constexpr Milliseconds ConnectLimit{1'000};
-constexpr std::size_t ReadSize = 16 * 1024;
+constexpr std::size_t ReadSize = 16'384;
 constexpr std::size_t MaxIdleConnections = 16;
 
 http::request<http::string_body> makeMessage(const Endpoint &endpoint, const HttpRequest &request,
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,193 @@
+// Our HTTP server and client against each other, over loopback.
+
+#include "main/daemon.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+
+#include <cstdio>
+#include <filesystem>
+
+namespace boragepath {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Milliseconds Patience{10'000};
+const Endpoint ServerAt{"127.0.0.9", 17'901};
+
+asio::awaitable<void> echo(const HttpRequest &request, HttpResponder &responder)
+{
+    if (request.target == "/stream") {
+        HttpResponse header;
+        co_await responder.beginStream(header);
+        for (int part = 0; part < 3; ++part) {
+            const std::string data = "part " + std::to_string(part) + "\n";
+            co_await responder.chunk(data);
+        }
+        co_await responder.endStream();
+        co_return;
+    }
+    HttpResponse response;
+    response.body = request.body;
+    co_await responder.send(response);
+}
+
+/** Runs one exchange with a server of these limits. */
+HttpResult exchange(const HttpRequest &request, HttpLimits limits,
+                    std::shared_ptr<asio::ssl::context> tls = nullptr)
+{
+    asio::io_context context(1);
+    HttpServer server(context, limits, echo);
+    if (tls != nullptr) {
+        server.useTls(tls);
+    }
+    server.listen(ServerAt);
+    HttpResult result;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            if (tls == nullptr) {
+                result = co_await httpCall(ServerAt, request, Patience);
+            } else {
+                result = co_await httpsCall(ServerAt, request, Patience);
+            }
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    return result;
+}
+
+HttpRequest postOf(const std::string &body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.body = body;
+    return request;
+}
+
+/** A key and a self-signed certificate in files of their own. */
+class CertificateFiles
+{
+public:
+    CertificateFiles()
+    {
+        EVP_PKEY *key = EVP_RSA_gen(2048);
+        X509 *certificate = X509_new();
+        ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
+        X509_gmtime_adj(X509_getm_notBefore(certificate), 0);
+        X509_gmtime_adj(X509_getm_notAfter(certificate), 3'600);
+        X509_set_pubkey(certificate, key);
+        X509_sign(certificate, key, EVP_sha256());
+        FILE *file = std::fopen(keyFile().c_str(), "w");
+        PEM_write_PrivateKey(file, key, nullptr, nullptr, 0, nullptr, nullptr);
+        std::fclose(file);
+        file = std::fopen(certificateFile().c_str(), "w");
+        PEM_write_X509(file, certificate);
+        std::fclose(file);
+        X509_free(certificate);
+        EVP_PKEY_free(key);
+        allow(std::filesystem::perms::owner_read);
+    }
+    CertificateFiles(const CertificateFiles &) = delete;
+    CertificateFiles &operator=(const CertificateFiles &) = delete;
+    ~CertificateFiles() { std::filesystem::remove_all(m_folder); }
+
+    std::string keyFile() const { return m_folder / "key.pem"; }
+    std::string certificateFile() const { return m_folder / "certificate.pem"; }
+    void allow(std::filesystem::perms permissions) const
+    {
+        std::filesystem::permissions(keyFile(), permissions);
+    }
+
+private:
+    static std::filesystem::path makeFolder()
+    {
+        std::string name = std::filesystem::temp_directory_path() / "boragepath-XXXXXX";
+        return mkdtemp(name.data());
+    }
+
+    std::filesystem::path m_folder = makeFolder();
+};
+
+} // namespace
+
+TEST(Http, BodiesComeBack)
+{
+    const HttpResult result = exchange(postOf("hello"), {});
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.response.status, 200U);
+    EXPECT_EQ(result.response.body, "hello");
+}
+
+TEST(Http, StreamsAreComplete)
+{
+    HttpRequest request;
+    request.target = "/stream";
+    EXPECT_EQ(exchange(request, {}).response.body, "part 0\npart 1\npart 2\n");
+}
+
+TEST(Http, HugeBodiesAreRefusedAsNotRun)
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = 1'000;
+    const HttpResult result = exchange(postOf(std::string(1'001, 'x')), limits);
+    EXPECT_EQ(result.response.status, 413U);
+    EXPECT_EQ(result.response.valueOf("Boragepath-Verdict"), "not-run");
+}
+
+TEST(Http, HugeHeadersAreRefusedAsNotRun)
+{
+    HttpLimits limits;
+    limits.maxHeaderBytes = 2'000;
+    HttpRequest request = postOf("x");
+    request.fields.push_back({"Boragepath-Program", std::string(3'000, 'x')});
+    const HttpResult result = exchange(request, limits);
+    EXPECT_EQ(result.response.status, 400U);
+    EXPECT_EQ(result.response.valueOf("Boragepath-Verdict"), "not-run");
+}
+
+TEST(Http, NobodyThereMeansThatNothingWasSent)
+{
+    asio::io_context context(1);
+    HttpResult result;
+    result.sent = true;
+    const Endpoint nobody{"127.0.0.9", 17'902};
+    const HttpRequest request = postOf("x");
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> { result = co_await httpCall(nobody, request, Patience); },
+        asio::detached);
+    context.run();
+    EXPECT_FALSE(result.sent);
+    EXPECT_FALSE(result.complete);
+}
+
+TEST(Tls, BodiesComeBack)
+{
+    const CertificateFiles files;
+    const auto tls = loadTls(files.certificateFile(), files.keyFile());
+    ASSERT_TRUE(tls.ok()) << tls.status().message();
+    EXPECT_EQ(exchange(postOf("hello"), {}, *tls).response.body, "hello");
+}
+
+TEST(Tls, AKeyThatOthersMayReadIsRefused)
+{
+    const CertificateFiles files;
+    files.allow(std::filesystem::perms::owner_read | std::filesystem::perms::group_read);
+    const auto tls = loadTls(files.certificateFile(), files.keyFile());
+    ASSERT_FALSE(tls.ok());
+    EXPECT_EQ(tls.status().code(), absl::StatusCode::kPermissionDenied);
+}
+
+} // namespace boragepath
