--- a/bench/bench_node.cpp
+++ b/bench/bench_node.cpp
@@ -27,6 +27,7 @@
     settings.callers = {"127.0.0.1", 7000};
     settings.peers = {"127.0.0.1", 8000};
     settings.peerSecret = Secret;
+    settings.tableWritesPerSecond = size.tableWritesPerSecond;
     PoolSettings pool;
     pool.name = PoolName("model");
     pool.usefulBatch = UsefulBatch;
@@ -51,6 +52,7 @@
     entry.pools = {PoolName("model")};
     entry.budget = {1'000'000'000'000, 1'000'000'000'000};
     entry.callsPerSecond = 1e6;
+    entry.tokensPerProgram = 1'000'000'000;
     entry.programsUnderWay = 1'000'000;
     entry.keySalt = "salt";
     entry.keyHash = saltedKeyHash("salt", "key");
--- a/bench/bench_node.h
+++ b/bench/bench_node.h
@@ -29,6 +29,8 @@
     std::size_t members = 11;
     std::size_t replicas = 12;
     std::size_t entries = 10;
+    /** Writes a second of the table service; so many that no commit waits for its turn. */
+    std::int64_t tableWritesPerSecond = 400;
 };
 
 /**
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -1,5 +1,8 @@
 #include "core/metrics.h"
 
+// Boost.Accumulators uses it without including it.
+#include <sstream>
+
 #include <absl/strings/str_cat.h>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -8,7 +11,6 @@
 #include <boost/accumulators/statistics/sum.hpp>
 
 #include <array>
-#include <sstream>
 
 namespace boragepath {
 
--- a/core/settings.h
+++ b/core/settings.h
@@ -89,7 +89,7 @@
     Milliseconds leaseTerm{6'000};
     Milliseconds leaseMargin{1'000};
     /** Shortest time between two probes of this VM. */
-    Milliseconds probeInterval{250};
+    Milliseconds probeInterval{500};
     /** Row writes a second that the platform grants the whole deployment. */
     std::int64_t tableWritesPerSecond = 400;
     Milliseconds tableTimeout{2'000};
