--- a/backends/backend_client.cpp
+++ b/backends/backend_client.cpp
@@ -1,5 +1,6 @@
 #include "backends/backend_client.h"
 
+#include "core/json_access.h"
 #include "net/http_client.h"
 
 #include <absl/strings/match.h>
@@ -21,27 +22,6 @@
 /** A program is worth asking about once a server has not used it for this long. */
 constexpr int HeldIdleSeconds = 20;
 
-const json::object *objectAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    return value == nullptr ? nullptr : value->if_object();
-}
-
-std::int64_t integerAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
-}
-
-std::string textAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    if (value == nullptr || !value->is_string()) {
-        return {};
-    }
-    return {value->get_string().data(), value->get_string().size()};
-}
-
 /** Collects the answer from the events of a stream. */
 void noteEvent(const std::string &data, BackendOutcome &outcome)
 {
@@ -68,9 +48,9 @@
     const json::object &choice = choices->get_array()[0].get_object();
     const json::object *delta = objectAt(choice, "delta");
     if (delta != nullptr) {
-        outcome.answer += textAt(*delta, "content");
+        outcome.answer += stringAt(*delta, "content");
     }
-    const std::string finish = textAt(choice, "finish_reason");
+    const std::string finish = stringAt(choice, "finish_reason");
     if (!finish.empty()) {
         outcome.finishReason = finish;
     }
--- a/callers/caller_api.cpp
+++ b/callers/caller_api.cpp
@@ -22,16 +22,6 @@
 constexpr const char *AddressPath = "/v1/address";
 constexpr double SecondsPerMilli = 0.001;
 
-Refusal refusalOf(Verdict verdict, Reason reason, std::string message, Milliseconds retryAfter)
-{
-    Refusal refusal;
-    refusal.verdict = verdict;
-    refusal.reason = reason;
-    refusal.message = std::move(message);
-    refusal.retryAfter = retryAfter;
-    return refusal;
-}
-
 /** Fields of an HTTP message that belong to one connection only. */
 bool isHopField(const std::string &name)
 {
@@ -75,8 +65,8 @@
     } else if (request.method == "DELETE" && absl::StartsWith(path, ProgramPrefix)) {
         co_await handleEnd(request, responder);
     } else {
-        Refusal refusal = refusalOf(Verdict::NotRun, Reason::UnknownPool,
-                                    "there is no such path or method", Milliseconds(0));
+        Refusal refusal = makeRefusal(Verdict::NotRun, Reason::UnknownPool,
+                                      "there is no such path or method", Milliseconds(0));
         refusal.field = "path";
         co_await responder.send(refusalResponse(refusal, CallNumber()));
     }
@@ -188,8 +178,8 @@
                          ProgramId(request.path().substr(std::string(ProgramPrefix).size()))};
     if (!isPlainId(key.entry.value()) || !isPlainId(key.program.value())) {
         Refusal refusal =
-            refusalOf(Verdict::NotRun, Reason::BadRequest,
-                      "Boragepath-Entry and the program id are required", Milliseconds(0));
+            makeRefusal(Verdict::NotRun, Reason::BadRequest,
+                        "Boragepath-Entry and the program id are required", Milliseconds(0));
         refusal.field = "Boragepath-Entry";
         co_await responder.send(refusalResponse(refusal, CallNumber()));
         co_return;
@@ -248,8 +238,8 @@
     if (begun) {
         if (!result.complete) {
             CallAnswer lost;
-            lost.refusal = refusalOf(Verdict::MayHaveRun, Reason::RecordLost,
-                                     "the program's owner was lost", settings.leaseTerm);
+            lost.refusal = makeRefusal(Verdict::MayHaveRun, Reason::RecordLost,
+                                       "the program's owner was lost", settings.leaseTerm);
             co_await responder.chunk(streamEnd(lost));
         }
         co_await responder.endStream();
@@ -261,8 +251,8 @@
         co_return;
     }
     const Refusal refusal =
-        refusalOf(result.sent ? Verdict::MayHaveRun : Verdict::NotRun, Reason::NotOwner,
-                  "the program's owner could not be reached", Milliseconds(1'000));
+        makeRefusal(result.sent ? Verdict::MayHaveRun : Verdict::NotRun, Reason::NotOwner,
+                    "the program's owner could not be reached", Milliseconds(1'000));
     co_await responder.send(refusalResponse(refusal, CallNumber()));
 }
 
--- a/control/call_engine.cpp
+++ b/control/call_engine.cpp
@@ -33,17 +33,6 @@
 /** The entry's common prompt is assumed to be this long. */
 constexpr std::int64_t SharedPromptTokens = 256;
 
-Refusal refusalOf(Verdict verdict, Reason reason, std::string message,
-                  Milliseconds retryAfter = Milliseconds(0))
-{
-    Refusal refusal;
-    refusal.verdict = verdict;
-    refusal.reason = reason;
-    refusal.message = std::move(message);
-    refusal.retryAfter = retryAfter;
-    return refusal;
-}
-
 Amount costOf(const PoolSettings &pool, std::int64_t tokens)
 {
     const std::int64_t priced =
@@ -196,8 +185,8 @@
     if (isCurrent) {
         if (program.current->request.bodyHash != request.bodyHash) {
             refuse(request.handle,
-                   refusalOf(Verdict::NotRun, Reason::BodyMismatch,
-                             "this call number is under way with another body"),
+                   makeRefusal(Verdict::NotRun, Reason::BodyMismatch,
+                               "this call number is under way with another body"),
                    program.next);
             return;
         }
@@ -206,7 +195,7 @@
     }
     if (program.open.ended) {
         refuse(request.handle,
-               refusalOf(Verdict::NotRun, Reason::ProgramEnded, "the program has ended"),
+               makeRefusal(Verdict::NotRun, Reason::ProgramEnded, "the program has ended"),
                program.next);
         return;
     }
@@ -220,15 +209,15 @@
     const std::uint32_t ahead = request.number.value() - program.next.value();
     if (ahead > MaxEarlyCalls) {
         refuse(request.handle,
-               refusalOf(Verdict::NotRun, Reason::WrongCallNumber,
-                         absl::StrCat("expected call ", program.next.value())),
+               makeRefusal(Verdict::NotRun, Reason::WrongCallNumber,
+                           absl::StrCat("expected call ", program.next.value())),
                program.next);
         return;
     }
     const auto previous = program.early.find(request.number);
     if (previous != program.early.end()) {
         refuse(previous->second.request.handle,
-               refusalOf(Verdict::NotRun, Reason::Cancelled, "the same call was sent again"),
+               makeRefusal(Verdict::NotRun, Reason::Cancelled, "the same call was sent again"),
                program.next);
     }
     const SteadyTime deadline = m_parts.clock.now() + m_parts.settings.gapLimit;
@@ -241,16 +230,16 @@
     const auto found = program.turns.find(request.number);
     if (found == program.turns.end() || found->second.bodyHash != request.bodyHash) {
         refuse(request.handle,
-               refusalOf(Verdict::NotRun, Reason::BodyMismatch,
-                         "this call number was used with another body"),
+               makeRefusal(Verdict::NotRun, Reason::BodyMismatch,
+                           "this call number was used with another body"),
                program.next);
         return;
     }
     const TurnRecord &turn = found->second;
     if (turn.verdict != Verdict::Ran) {
         refuse(request.handle,
-               refusalOf(turn.verdict, Reason::OutcomeUnknown,
-                         "the call may have run; its outcome is not known"),
+               makeRefusal(turn.verdict, Reason::OutcomeUnknown,
+                           "the call may have run; its outcome is not known"),
                program.next);
         return;
     }
@@ -267,21 +256,21 @@
     const Entry *entry = m_parts.catalogue.find(program.key.entry);
     if (entry == nullptr) {
         refuse(request.handle,
-               refusalOf(Verdict::NotRun, Reason::UnknownEntry, "no such catalogue entry"),
+               makeRefusal(Verdict::NotRun, Reason::UnknownEntry, "no such catalogue entry"),
                program.next);
         return false;
     }
     if (request.number.value() > entry->callsPerProgram) {
         refuse(request.handle,
-               refusalOf(Verdict::NotRun, Reason::CallsLimit,
-                         absl::StrCat("calls_per_program is ", entry->callsPerProgram)),
+               makeRefusal(Verdict::NotRun, Reason::CallsLimit,
+                           absl::StrCat("calls_per_program is ", entry->callsPerProgram)),
                program.next);
         return false;
     }
     if (program.totalTokens() >= entry->tokensPerProgram) {
         refuse(request.handle,
-               refusalOf(Verdict::NotRun, Reason::TokensLimit,
-                         absl::StrCat("tokens_per_program is ", entry->tokensPerProgram)),
+               makeRefusal(Verdict::NotRun, Reason::TokensLimit,
+                           absl::StrCat("tokens_per_program is ", entry->tokensPerProgram)),
                program.next);
         return false;
     }
@@ -292,10 +281,10 @@
     const bool isNew = program.turns.empty() && !program.openDurable;
     if (isNew && programsUnderWay(program.key.entry) > share) {
         refuse(request.handle,
-               refusalOf(Verdict::NotRun, Reason::ProgramsLimit,
-                         absl::StrCat("programs_under_way is ", entry->programsUnderWay,
-                                      ", of which this VM has ", share),
-                         RetryAfterTrouble),
+               makeRefusal(Verdict::NotRun, Reason::ProgramsLimit,
+                           absl::StrCat("programs_under_way is ", entry->programsUnderWay,
+                                        ", of which this VM has ", share),
+                           RetryAfterTrouble),
                program.next);
         return false;
     }
@@ -339,8 +328,8 @@
     const Entry *entry = m_parts.catalogue.find(program.key.entry);
     const PoolSettings *pool = poolOf(call.request.pool);
     if (entry == nullptr || pool == nullptr) {
-        refuseCurrent(program,
-                      refusalOf(Verdict::NotRun, Reason::UnknownPool, "no such model or service"));
+        refuseCurrent(
+            program, makeRefusal(Verdict::NotRun, Reason::UnknownPool, "no such model or service"));
         return;
     }
     if (!m_mechanisms.reserve) {
@@ -361,15 +350,15 @@
         }
         if (outcome == ReserveOutcome::Exhausted) {
             refuseCurrent(*found,
-                          refusalOf(Verdict::NotRun, Reason::BudgetExhausted,
-                                    "the entry's budget does not cover this call",
-                                    std::chrono::hours(1)));
+                          makeRefusal(Verdict::NotRun, Reason::BudgetExhausted,
+                                      "the entry's budget does not cover this call",
+                                      std::chrono::hours(1)));
             return;
         }
         if (outcome == ReserveOutcome::Lost) {
             refuseCurrent(*found,
-                          refusalOf(Verdict::NotRun, Reason::NoLease,
-                                    "this VM has lost its ownership", RetryAfterTrouble));
+                          makeRefusal(Verdict::NotRun, Reason::NoLease,
+                                      "this VM has lost its ownership", RetryAfterTrouble));
             return;
         }
         found->current->reserved = amount;
@@ -441,8 +430,8 @@
     }
     if (views.empty()) {
         refuseCurrent(program,
-                      refusalOf(Verdict::NotRun, Reason::NoReplica,
-                                "no backend server can take the call", RetryAfterTrouble));
+                      makeRefusal(Verdict::NotRun, Reason::NoReplica,
+                                  "no backend server can take the call", RetryAfterTrouble));
         return;
     }
     PlacementQuestion question;
@@ -564,9 +553,9 @@
             break;
         }
         refuseCurrent(*program,
-                      refusalOf(Verdict::NotRun, Reason::Overloaded,
-                                "the backend servers are overloaded",
-                                std::max(reply.retryAfter, RetryAfterTrouble)));
+                      makeRefusal(Verdict::NotRun, Reason::Overloaded,
+                                  "the backend servers are overloaded",
+                                  std::max(reply.retryAfter, RetryAfterTrouble)));
         break;
     }
 }
@@ -654,8 +643,8 @@
     ActiveCall &call = *program->current;
     if (result.kind != CommitResult::Kind::Committed) {
         refuseCurrent(*program,
-                      refusalOf(Verdict::NotRun, Reason::NoLease, "this VM has lost its ownership",
-                                RetryAfterTrouble));
+                      makeRefusal(Verdict::NotRun, Reason::NoLease,
+                                  "this VM has lost its ownership", RetryAfterTrouble));
         return;
     }
     call.intentDurable = true;
@@ -666,9 +655,9 @@
     }
     if (!m_parts.commits.leaseValid()) {
         refuseCurrent(*program,
-                      refusalOf(Verdict::NotRun, Reason::NoLease,
-                                "the lease lapsed before the call could be sent",
-                                RetryAfterTrouble));
+                      makeRefusal(Verdict::NotRun, Reason::NoLease,
+                                  "the lease lapsed before the call could be sent",
+                                  RetryAfterTrouble));
         return;
     }
     dispatch(*program);
@@ -854,9 +843,9 @@
     }
     if (result.kind != CommitResult::Kind::Committed) {
         refuseCurrent(*program,
-                      refusalOf(Verdict::MayHaveRun, Reason::RecordLost,
-                                "it ran, but this VM lost its ownership before it was recorded",
-                                RetryAfterTrouble));
+                      makeRefusal(Verdict::MayHaveRun, Reason::RecordLost,
+                                  "it ran, but this VM lost its ownership before it was recorded",
+                                  RetryAfterTrouble));
         return;
     }
     program->openDurable = true;
@@ -868,8 +857,8 @@
     answer.turn = turn;
     answer.nextCall = program->next;
     if (turn.verdict != Verdict::Ran) {
-        answer.refusal = refusalOf(Verdict::MayHaveRun, Reason::OutcomeUnknown,
-                                   "the call may have run; its outcome is not known");
+        answer.refusal = makeRefusal(Verdict::MayHaveRun, Reason::OutcomeUnknown,
+                                     "the call may have run; its outcome is not known");
         m_statistics.mayHaveRun += 1;
     }
     m_statistics.answered += 1;
@@ -912,8 +901,8 @@
     const bool sentOnce = outcome.sent && !call.request.idempotent;
     if (!sentOnce) {
         refuseCurrent(program,
-                      refusalOf(outcome.sent ? Verdict::MayHaveRun : Verdict::NotRun,
-                                Reason::BackendFailed, outcome.error, RetryAfterFailure));
+                      makeRefusal(outcome.sent ? Verdict::MayHaveRun : Verdict::NotRun,
+                                  Reason::BackendFailed, outcome.error, RetryAfterFailure));
         return;
     }
     TurnRecord turn = describeTurn(program, outcome);
@@ -961,7 +950,7 @@
     if (program.open.ended) {
         for (auto &[number, call] : std::exchange(program.early, {})) {
             refuse(call.request.handle,
-                   refusalOf(Verdict::NotRun, Reason::ProgramEnded, "the program has ended"),
+                   makeRefusal(Verdict::NotRun, Reason::ProgramEnded, "the program has ended"),
                    program.next);
         }
         return;
@@ -993,7 +982,7 @@
             continue;
         }
         if (call.stage != CallStage::Intending) {
-            refuseCurrent(program, refusalOf(Verdict::NotRun, Reason::Cancelled, "caller gone"));
+            refuseCurrent(program, makeRefusal(Verdict::NotRun, Reason::Cancelled, "caller gone"));
             advance(program);
         }
     }
@@ -1197,11 +1186,11 @@
 
 void CallEngine::reset()
 {
-    const Refusal notRun = refusalOf(Verdict::NotRun, Reason::NoLease,
-                                     "this VM has lost its ownership", RetryAfterTrouble);
+    const Refusal notRun = makeRefusal(Verdict::NotRun, Reason::NoLease,
+                                       "this VM has lost its ownership", RetryAfterTrouble);
     const Refusal lost =
-        refusalOf(Verdict::MayHaveRun, Reason::RecordLost,
-                  "this VM lost its ownership before the call was recorded", RetryAfterTrouble);
+        makeRefusal(Verdict::MayHaveRun, Reason::RecordLost,
+                    "this VM lost its ownership before the call was recorded", RetryAfterTrouble);
     for (auto &[key, program] : m_programs) {
         for (const EarlyCall &call : program.unsorted) {
             refuse(call.request.handle, notRun, program.next);
@@ -1259,8 +1248,8 @@
     });
     for (const EarlyCall &call : expired) {
         refuse(call.request.handle,
-               refusalOf(Verdict::NotRun, Reason::StoreUnavailable,
-                         "the program could not be loaded", RetryAfterTrouble),
+               makeRefusal(Verdict::NotRun, Reason::StoreUnavailable,
+                           "the program could not be loaded", RetryAfterTrouble),
                program.next);
     }
     for (auto call = program.early.begin(); call != program.early.end();) {
@@ -1269,8 +1258,8 @@
             continue;
         }
         refuse(call->second.request.handle,
-               refusalOf(Verdict::NotRun, Reason::GapTimeout,
-                         absl::StrCat("expected call ", program.next.value())),
+               makeRefusal(Verdict::NotRun, Reason::GapTimeout,
+                           absl::StrCat("expected call ", program.next.value())),
                program.next);
         call = program.early.erase(call);
     }
@@ -1296,15 +1285,15 @@
     case CallStage::Reserving:
         if (late) {
             refuseCurrent(program,
-                          refusalOf(Verdict::NotRun, Reason::StoreUnavailable,
-                                    "the budget could not be checked", RetryAfterTrouble));
+                          makeRefusal(Verdict::NotRun, Reason::StoreUnavailable,
+                                      "the budget could not be checked", RetryAfterTrouble));
         }
         break;
     case CallStage::Queued:
         if (late) {
             refuseCurrent(program,
-                          refusalOf(Verdict::NotRun, Reason::Overloaded,
-                                    "no backend server became free in time", RetryAfterTrouble));
+                          makeRefusal(Verdict::NotRun, Reason::Overloaded,
+                                      "no backend server became free in time", RetryAfterTrouble));
         }
         break;
     case CallStage::Intending:
@@ -1312,8 +1301,8 @@
             // The intent may still become durable; onIntent() then removes it.
             for (const CallHandle handle : std::exchange(call.handles, {})) {
                 refuse(handle,
-                       refusalOf(Verdict::NotRun, Reason::StoreUnavailable,
-                                 "the intent could not be recorded", RetryAfterTrouble),
+                       makeRefusal(Verdict::NotRun, Reason::StoreUnavailable,
+                                   "the intent could not be recorded", RetryAfterTrouble),
                        program.next);
             }
         }
@@ -1321,8 +1310,8 @@
     case CallStage::Backoff:
         if (late) {
             refuseCurrent(program,
-                          refusalOf(Verdict::NotRun, Reason::BackendFailed,
-                                    "no attempt succeeded in time", RetryAfterTrouble));
+                          makeRefusal(Verdict::NotRun, Reason::BackendFailed,
+                                      "no attempt succeeded in time", RetryAfterTrouble));
         } else if (now >= call.retryAt) {
             choose(program);
         }
--- a/control/commit_queue.cpp
+++ b/control/commit_queue.cpp
@@ -1,5 +1,6 @@
 #include "control/commit_queue.h"
 
+#include "control/backoff.h"
 #include "control/records.h"
 
 #include <algorithm>
@@ -11,9 +12,6 @@
 /** Writes in one transaction at most; keeps it within usual table service limits. */
 constexpr std::size_t MaxWritesPerTransaction = 120;
 constexpr std::size_t MaxBytesPerTransaction = 1'000'000;
-constexpr Milliseconds FirstBackoff{20};
-constexpr Milliseconds LongestBackoff{1'000};
-constexpr int MaxBackoffDoublings = 6;
 /** Commits that a VM may start in a row after it was quiet. */
 constexpr double MostAllowance = 8;
 /** The own row is written at least this often in a lease term. */
@@ -170,10 +168,7 @@
 
 void CommitQueue::scheduleResend()
 {
-    const Milliseconds doubled = FirstBackoff * (1 << std::min(m_failures, MaxBackoffDoublings));
-    const Milliseconds ceiling = std::min(LongestBackoff, doubled);
-    std::uniform_int_distribution<std::int64_t> spread(ceiling.count() / 2, ceiling.count());
-    m_nextSend = m_clock.now() + Milliseconds(spread(m_random));
+    m_nextSend = m_clock.now() + jitteredBackoff(m_failures, m_random);
     m_failures += 1;
 }
 
--- a/control/node.cpp
+++ b/control/node.cpp
@@ -42,15 +42,6 @@
     return config;
 }
 
-Refusal notRun(Reason reason, std::string message, Milliseconds retryAfter)
-{
-    Refusal refusal;
-    refusal.reason = reason;
-    refusal.message = std::move(message);
-    refusal.retryAfter = retryAfter;
-    return refusal;
-}
-
 std::string programText(const ProgramKey &key)
 {
     return absl::StrCat(key.entry.value(), "/", key.program.value());
@@ -386,17 +377,20 @@
 std::optional<Refusal> Node::checkReady() const
 {
     if (!m_feed.ready()) {
-        return notRun(Reason::NoLease, "this VM is starting", RetryAfterTrouble);
+        return makeRefusal(Verdict::NotRun, Reason::NoLease, "this VM is starting",
+                           RetryAfterTrouble);
     }
     if (!m_commits.leaseValid()) {
-        return notRun(Reason::NoLease, "this VM cannot renew its lease", RetryAfterTrouble);
+        return makeRefusal(Verdict::NotRun, Reason::NoLease, "this VM cannot renew its lease",
+                           RetryAfterTrouble);
     }
     if (m_mechanisms.staleLimit && m_feed.age() > m_settings.catalogueStaleLimit) {
-        return notRun(Reason::StaleCatalogue, "this VM has no news of the catalogue",
-                      RetryAfterTrouble);
+        return makeRefusal(Verdict::NotRun, Reason::StaleCatalogue,
+                           "this VM has no news of the catalogue", RetryAfterTrouble);
     }
     if (m_commits.full()) {
-        return notRun(Reason::StoreUnavailable, "too much waits to be recorded", RetryAfterTrouble);
+        return makeRefusal(Verdict::NotRun, Reason::StoreUnavailable,
+                           "too much waits to be recorded", RetryAfterTrouble);
     }
     return std::nullopt;
 }
@@ -432,8 +426,8 @@
         const std::optional<Endpoint> owner = ownerElsewhere(request.program);
         if (request.relayed || !owner.has_value()) {
             refuse(handle,
-                   notRun(m_leaving ? Reason::Leaving : Reason::NotOwner,
-                          "the program's owner is changing", RetryAfterMove));
+                   makeRefusal(Verdict::NotRun, m_leaving ? Reason::Leaving : Reason::NotOwner,
+                               "the program's owner is changing", RetryAfterMove));
             return;
         }
         m_effects.relay(handle, *owner);
@@ -468,7 +462,8 @@
     if (!m_shards.owns(shardOf(key, m_settings.shardCount))) {
         const std::optional<Endpoint> owner = ownerElsewhere(key);
         if (relayed || !owner.has_value()) {
-            done(notRun(Reason::NotOwner, "the program's owner is changing", RetryAfterMove));
+            done(makeRefusal(Verdict::NotRun, Reason::NotOwner, "the program's owner is changing",
+                             RetryAfterMove));
             return;
         }
         m_effects.relay(handle, *owner);
@@ -480,8 +475,8 @@
         return;
     }
     m_engine.endProgram(key, [done](bool ended) {
-        Refusal result =
-            notRun(Reason::Cancelled, "a call of the program is under way", RetryAfterTrouble);
+        Refusal result = makeRefusal(Verdict::NotRun, Reason::Cancelled,
+                                     "a call of the program is under way", RetryAfterTrouble);
         if (ended) {
             result = {};
             result.verdict = Verdict::Ran;
--- a/control/table_reader.cpp
+++ b/control/table_reader.cpp
@@ -1,18 +1,11 @@
 #include "control/table_reader.h"
 
-#include <algorithm>
+#include "control/backoff.h"
+
 #include <vector>
 
 namespace boragepath {
 
-namespace {
-
-constexpr Milliseconds FirstBackoff{20};
-constexpr Milliseconds LongestBackoff{1'000};
-constexpr int MaxBackoffDoublings = 6;
-
-} // namespace
-
 TableReader::TableReader(const Clock &clock, Effects &effects, std::uint64_t seed)
     : m_clock(clock)
     , m_effects(effects)
@@ -54,11 +47,7 @@
     Pending &pending = found->second;
     if (!outcome.answered && !pending.once) {
         pending.awaiting = false;
-        const Milliseconds doubled =
-            FirstBackoff * (1 << std::min(pending.failures, MaxBackoffDoublings));
-        const Milliseconds ceiling = std::min(LongestBackoff, doubled);
-        std::uniform_int_distribution<std::int64_t> spread(ceiling.count() / 2, ceiling.count());
-        pending.nextSend = m_clock.now() + Milliseconds(spread(m_random));
+        pending.nextSend = m_clock.now() + jitteredBackoff(pending.failures, m_random);
         pending.failures += 1;
         return;
     }
--- a/core/verdict.cpp
+++ b/core/verdict.cpp
@@ -1,5 +1,7 @@
 #include "core/verdict.h"
 
+#include <utility>
+
 namespace boragepath {
 
 namespace {
@@ -86,4 +88,14 @@
     return textOf(reason).httpStatus;
 }
 
+Refusal makeRefusal(Verdict verdict, Reason reason, std::string message, Milliseconds retryAfter)
+{
+    Refusal refusal;
+    refusal.verdict = verdict;
+    refusal.reason = reason;
+    refusal.message = std::move(message);
+    refusal.retryAfter = retryAfter;
+    return refusal;
+}
+
 } // namespace boragepath
--- a/core/verdict.h
+++ b/core/verdict.h
@@ -66,4 +66,8 @@
     Milliseconds retryAfter{0};
 };
 
+/** A refusal without a field at fault. */
+Refusal makeRefusal(Verdict verdict, Reason reason, std::string message,
+                    Milliseconds retryAfter = Milliseconds(0));
+
 } // namespace boragepath
--- a/load/caller_client.cpp
+++ b/load/caller_client.cpp
@@ -1,6 +1,7 @@
 #include "load/caller_client.h"
 
 #include "backends/backend_client.h"
+#include "core/json_access.h"
 #include "net/http_client.h"
 
 #include <absl/strings/numbers.h>
@@ -23,27 +24,6 @@
 constexpr Milliseconds AddressTimeout{1'000};
 constexpr Milliseconds PauseAfterLoss{200};
 
-std::string stringAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    if (value == nullptr || !value->is_string()) {
-        return {};
-    }
-    return {value->get_string().data(), value->get_string().size()};
-}
-
-std::int64_t integerAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
-}
-
-const json::object *objectAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    return value == nullptr ? nullptr : value->if_object();
-}
-
 /** Takes what the system says of a call: the "boragepath" and "error" objects. */
 void noteOwn(const json::object &object, CallReport &report)
 {
@@ -53,8 +33,7 @@
         report.verdict = stringAt(*own, "verdict");
         report.nextCall = static_cast<int>(integerAt(*own, "next_call"));
         report.retryAfter = Milliseconds(integerAt(*own, "retry_after_ms"));
-        const json::value *replayed = own->if_contains("replayed");
-        report.replayed = replayed != nullptr && replayed->is_bool() && replayed->get_bool();
+        report.replayed = flagAt(*own, "replayed");
     }
     const json::object *error = objectAt(object, "error");
     if (error != nullptr) {
--- a/operators/tables.cpp
+++ b/operators/tables.cpp
@@ -1,5 +1,7 @@
 #include "operators/tables.h"
 
+#include "core/json_access.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
@@ -21,13 +23,6 @@
 constexpr double BurnWarning = 1.0;
 constexpr double BurnAlarm = 14.4;
 
-const json::array &arrayAt(const json::object &object, const char *field)
-{
-    static const json::array none;
-    const json::value *value = object.if_contains(field);
-    return value != nullptr && value->is_array() ? value->get_array() : none;
-}
-
 /** A field as text; empty if it is absent. */
 std::string cell(const json::value &row, const char *field)
 {
--- a/standin/standin_servers.cpp
+++ b/standin/standin_servers.cpp
@@ -1,6 +1,6 @@
 #include "standin/standin_servers.h"
 
-#include "core/hash.h"
+#include "core/json_access.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
@@ -71,15 +71,6 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-std::string stringAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    if (value == nullptr || !value->is_string()) {
-        return {};
-    }
-    return {value->get_string().data(), value->get_string().size()};
-}
-
 std::string decodedAt(const json::object &object, const char *field)
 {
     std::string result;
@@ -87,18 +78,6 @@
     return result;
 }
 
-const json::array *arrayAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    return value == nullptr ? nullptr : value->if_array();
-}
-
-const json::object *objectAt(const json::object &object, const char *field)
-{
-    const json::value *value = object.if_contains(field);
-    return value == nullptr ? nullptr : value->if_object();
-}
-
 std::uint64_t numberAt(const json::object &object, const char *field)
 {
     std::uint64_t number = 0;
@@ -127,14 +106,12 @@
 Transaction readTransaction(const json::object &body)
 {
     Transaction transaction;
-    const json::array *compare = arrayAt(body, "compare");
-    for (const json::value &item : compare == nullptr ? json::array() : *compare) {
+    for (const json::value &item : arrayAt(body, "compare")) {
         const json::object &condition = item.as_object();
         transaction.conditions.push_back(
             {decodedAt(condition, "key"), RowRevision(numberAt(condition, "mod_revision"))});
     }
-    const json::array *success = arrayAt(body, "success");
-    for (const json::value &item : success == nullptr ? json::array() : *success) {
+    for (const json::value &item : arrayAt(body, "success")) {
         const json::object *put = objectAt(item.as_object(), "request_put");
         const json::object *remove = objectAt(item.as_object(), "request_delete_range");
         if (put != nullptr) {
@@ -167,8 +144,7 @@
 std::string promptOf(const json::object &body)
 {
     std::string prompt;
-    const json::array *messages = arrayAt(body, "messages");
-    for (const json::value &message : messages == nullptr ? json::array() : *messages) {
+    for (const json::value &message : arrayAt(body, "messages")) {
         if (message.is_object()) {
             absl::StrAppend(&prompt, "<", stringAt(message.get_object(), "role"), ">",
                             stringAt(message.get_object(), "content"));
