--- a/control/call_engine.h
+++ b/control/call_engine.h
@@ -88,7 +88,7 @@
     CallEngine(CallEngineParts parts, std::uint64_t seed, CallMechanisms mechanisms);
 
     /** Takes a call of a shard that this VM owns, after admission. */
-    void submit(const Entry &entry, CallRequest request);
+    void submit(CallRequest request);
     void onBackend(CallHandle handle, const BackendOutcome &outcome);
     void onReleased(std::uint64_t id, bool acknowledged);
     /** The caller of a call is gone; a call that has not been sent is dropped. */
--- /dev/null
+++ b/control/call_engine_run.cpp
@@ -0,0 +1,644 @@
+#include "control/call_engine.h"
+
+#include "core/hash.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+// One call from its reservation to its record.
+
+namespace boragepath {
+
+namespace {
+
+constexpr Milliseconds RetryAfterFailure{1'000};
+constexpr Milliseconds RetryAfterTrouble{1'000};
+constexpr Milliseconds FirstRetryDelay{50};
+constexpr int MaxAttempts = 4;
+constexpr int MaxMoves = 2;
+/** A queued call moves only if it gains this much. */
+constexpr double MoveGainMillis = 500;
+constexpr double RetryBudgetMost = 50;
+/** Retries allowed for each success. */
+constexpr double RetryShare = 0.1;
+constexpr double MeanWeight = 0.05;
+constexpr double MeanServiceStartMillis = 1'000;
+constexpr std::int64_t TokensPerThousand = 1'000;
+/** The entry's common prompt is assumed to be this long. */
+constexpr std::int64_t SharedPromptTokens = 256;
+
+Amount costOf(const PoolSettings &pool, std::int64_t tokens)
+{
+    const std::int64_t priced =
+        (tokens * pool.microsPerThousandTokens + TokensPerThousand - 1) / TokensPerThousand;
+    return {tokens, pool.microsPerCall + priced};
+}
+
+} // namespace
+
+// --- Money -------------------------------------------------------------------
+
+Amount CallEngine::largestCost(const Program &program, const CallRequest &request,
+                               const PoolSettings &pool) const
+{
+    if (request.isService) {
+        return costOf(pool, 0);
+    }
+    const std::int64_t completion =
+        request.maxTokens > 0 ? request.maxTokens : pool.defaultMaxTokens;
+    return costOf(pool, promptTokenBound(program, request) + completion);
+}
+
+void CallEngine::reserve(Program &program)
+{
+    ActiveCall &call = *program.current;
+    call.stage = CallStage::Reserving;
+    const Entry *entry = m_parts.catalogue.find(program.key.entry);
+    const PoolSettings *pool = poolOf(call.request.pool);
+    if (entry == nullptr || pool == nullptr) {
+        refuseCurrent(
+            program, makeRefusal(Verdict::NotRun, Reason::UnknownPool, "no such model or service"));
+        return;
+    }
+    if (!m_mechanisms.reserve) {
+        choose(program);
+        return;
+    }
+    const Amount amount = largestCost(program, call.request, *pool);
+    const std::int64_t period = m_parts.ledger.periodOf(*entry);
+    const ProgramKey key = program.key;
+    const CallNumber number = call.request.number;
+    const auto done = [this, key, number, amount, period](ReserveOutcome outcome) {
+        Program *found = findCurrent(key, number, CallStage::Reserving);
+        if (found == nullptr) {
+            if (outcome == ReserveOutcome::Reserved) {
+                m_parts.ledger.cancel(key.entry, period, amount);
+            }
+            return;
+        }
+        if (outcome == ReserveOutcome::Exhausted) {
+            refuseCurrent(*found,
+                          makeRefusal(Verdict::NotRun, Reason::BudgetExhausted,
+                                      "the entry's budget does not cover this call",
+                                      std::chrono::hours(1)));
+            return;
+        }
+        if (outcome == ReserveOutcome::Lost) {
+            refuseCurrent(*found,
+                          makeRefusal(Verdict::NotRun, Reason::NoLease,
+                                      "this VM has lost its ownership", RetryAfterTrouble));
+            return;
+        }
+        found->current->reserved = amount;
+        found->current->period = period;
+        choose(*found);
+    };
+    m_parts.ledger.reserve(*entry, amount, done);
+}
+
+void CallEngine::giveUpReservations(ActiveCall &call)
+{
+    if (call.permit != PermitId()) {
+        m_parts.permits.release(call.permit);
+        call.permit = PermitId();
+    }
+    if (!(call.reserved == Amount{})) {
+        const Amount reserved = std::exchange(call.reserved, Amount{});
+        m_parts.ledger.cancel(call.request.program.entry, call.period, reserved);
+    }
+}
+
+// --- Placement ---------------------------------------------------------------
+
+const PoolSettings *CallEngine::poolOf(const PoolName &name) const
+{
+    for (const PoolSettings &pool : m_parts.settings.pools) {
+        if (pool.name == name) {
+            return &pool;
+        }
+    }
+    return nullptr;
+}
+
+const ReplicaSettings *CallEngine::replicaOf(const ReplicaId &id) const
+{
+    for (const PoolSettings &pool : m_parts.settings.pools) {
+        for (const ReplicaSettings &replica : pool.replicas) {
+            if (replica.id == id) {
+                return &replica;
+            }
+        }
+    }
+    return nullptr;
+}
+
+std::vector<ReplicaView> CallEngine::viewsFor(const ActiveCall &call,
+                                              const PoolSettings &pool) const
+{
+    std::vector<ReplicaView> views;
+    for (const ReplicaSettings &replica : pool.replicas) {
+        if (!m_parts.loads.usable(replica.id) || call.excluded.contains(replica.id)) {
+            continue;
+        }
+        const ReplicaLoads::Load &load = m_parts.loads.of(replica.id);
+        views.push_back(
+            {replica.id, load.running, load.waiting, replica.zone == m_parts.settings.zone});
+    }
+    return views;
+}
+
+void CallEngine::choose(Program &program)
+{
+    ActiveCall &call = *program.current;
+    const PoolSettings &pool = *poolOf(call.request.pool);
+    std::vector<ReplicaView> views = viewsFor(call, pool);
+    if (views.empty() && !call.excluded.empty()) {
+        call.excluded.clear();
+        views = viewsFor(call, pool);
+    }
+    if (views.empty()) {
+        refuseCurrent(program,
+                      makeRefusal(Verdict::NotRun, Reason::NoReplica,
+                                  "no backend server can take the call", RetryAfterTrouble));
+        return;
+    }
+    PlacementQuestion question;
+    if (!pool.isService) {
+        question.historyTokens = program.historyTokens();
+        question.prefixAt = program.lastReplica;
+        question.sharedTokens = SharedPromptTokens;
+        const ReplicaView *home = nullptr;
+        std::uint64_t best = 0;
+        for (const ReplicaView &view : views) {
+            const std::uint64_t weight =
+                rendezvousWeight(program.key.entry.value(), view.id.value());
+            if (home == nullptr || weight > best) {
+                home = &view;
+                best = weight;
+            }
+        }
+        question.entryHome = home->id;
+    }
+    question.usefulBatch = pool.usefulBatch;
+    const auto mean = m_meanServiceMillis.find(pool.name);
+    question.meanServiceMillis =
+        mean == m_meanServiceMillis.end() ? MeanServiceStartMillis : mean->second;
+    question.prefillMillisPerToken =
+        static_cast<double>(pool.prefillPerThousandTokens.count()) / TokensPerThousand;
+    question.turn = m_placements++;
+    const PlacementAnswer answer = place(m_parts.settings.policy, views, question, m_random);
+    call.replica = *replicaOf(views[answer.index].id);
+    call.decision += absl::StrCat(call.decision.empty() ? "" : "; ", call.replica.id.value(), " ",
+                                  answer.reason);
+    if (usesPermits(m_parts.settings.policy)) {
+        askPermit(program, pool);
+        return;
+    }
+    onPermitGranted(program);
+}
+
+Milliseconds CallEngine::slackOf(const Program &program, const Entry &entry) const
+{
+    const Duration spent = m_parts.clock.now() - program.started;
+    return entry.objective - std::chrono::duration_cast<Milliseconds>(spent);
+}
+
+std::int64_t CallEngine::attainedOf(const Program &program) const
+{
+    std::int64_t attained = program.attainedMillis + program.childMillis;
+    if (program.open.parent.has_value()) {
+        const auto parent = m_programs.find({program.key.entry, *program.open.parent});
+        if (parent != m_programs.end()) {
+            attained += parent->second.attainedMillis;
+        }
+    }
+    return attained;
+}
+
+void CallEngine::askPermit(Program &program, const PoolSettings &pool)
+{
+    ActiveCall &call = *program.current;
+    call.stage = CallStage::Queued;
+    call.permit = PermitId();
+    call.permitAskedAt = m_parts.clock.now();
+    const Entry *entry = m_parts.catalogue.find(program.key.entry);
+    peers::PermitRequest request;
+    request.replica = call.replica.id.value();
+    request.serviceClass =
+        static_cast<std::int16_t>(entry == nullptr ? ServiceClass::Batch : entry->serviceClass);
+    request.attainedMillis = attainedOf(program);
+    request.slackMillis = entry == nullptr ? 0 : slackOf(program, *entry).count();
+    request.waitedMillis = millisOf(m_parts.clock.now() - call.arrived);
+    request.started = !program.turns.empty();
+    const ProgramKey key = program.key;
+    const CallNumber number = call.request.number;
+    const PermitId permit = m_parts.permits.acquire(
+        request, pool.usefulBatch, [this, key, number](PermitId id, const PermitReply &reply) {
+            onPermit(key, number, id, reply);
+        });
+    Program *found = findCurrent(key, number, CallStage::Queued);
+    if (found != nullptr && found->current->permit == PermitId()) {
+        found->current->permit = permit;
+    }
+}
+
+Program *CallEngine::findCurrent(const ProgramKey &key, CallNumber number, CallStage stage)
+{
+    Program *program = findProgram(key);
+    if (program == nullptr || !program->current.has_value()
+        || program->current->request.number != number || program->current->stage != stage) {
+        return nullptr;
+    }
+    return program;
+}
+
+void CallEngine::onPermit(const ProgramKey &key, CallNumber number, PermitId permit,
+                          const PermitReply &reply)
+{
+    Program *program = findCurrent(key, number, CallStage::Queued);
+    const bool wanted = program != nullptr
+        && (program->current->permit == permit || program->current->permit == PermitId());
+    if (!wanted) {
+        m_parts.permits.release(permit);
+        return;
+    }
+    ActiveCall &call = *program->current;
+    call.permit = permit;
+    m_parts.loads.hearCounts(call.replica.id, reply.running, reply.waiting);
+    switch (reply.outcome) {
+    case peers::PermitOutcome::GRANTED:
+        onPermitGranted(*program);
+        break;
+    case peers::PermitOutcome::QUEUED:
+        considerMove(*program, reply);
+        break;
+    default:
+        call.permit = PermitId();
+        if (call.moves < MaxMoves) {
+            call.moves += 1;
+            call.excluded.insert(call.replica.id);
+            choose(*program);
+            break;
+        }
+        refuseCurrent(*program,
+                      makeRefusal(Verdict::NotRun, Reason::Overloaded,
+                                  "the backend servers are overloaded",
+                                  std::max(reply.retryAfter, RetryAfterTrouble)));
+        break;
+    }
+}
+
+void CallEngine::considerMove(Program &program, const PermitReply &reply)
+{
+    ActiveCall &call = *program.current;
+    if (m_parts.settings.policy != PolicyKind::Program || call.moves >= MaxMoves) {
+        return;
+    }
+    const PoolSettings &pool = *poolOf(call.request.pool);
+    PlacementQuestion question;
+    question.usefulBatch = pool.usefulBatch;
+    const auto mean = m_meanServiceMillis.find(pool.name);
+    question.meanServiceMillis =
+        mean == m_meanServiceMillis.end() ? MeanServiceStartMillis : mean->second;
+    const ReplicaView here{call.replica.id, static_cast<double>(reply.running),
+                           static_cast<double>(reply.waiting), true};
+    const double prefillMillis = static_cast<double>(program.historyTokens())
+        * static_cast<double>(pool.prefillPerThousandTokens.count()) / TokensPerThousand;
+    const double recompute = program.lastReplica == call.replica.id ? prefillMillis : 0;
+    double bestElsewhere = expectedWaitMillis(here, question);
+    for (const ReplicaView &view : viewsFor(call, pool)) {
+        if (view.id != call.replica.id) {
+            bestElsewhere = std::min(bestElsewhere, expectedWaitMillis(view, question) + recompute);
+        }
+    }
+    if (expectedWaitMillis(here, question) - bestElsewhere < MoveGainMillis) {
+        return;
+    }
+    call.moves += 1;
+    m_statistics.moves += 1;
+    const PermitId permit = std::exchange(call.permit, PermitId());
+    call.stage = CallStage::Backoff;
+    m_parts.permits.release(permit);
+    choose(program);
+}
+
+void CallEngine::onPermitGranted(Program &program)
+{
+    ActiveCall &call = *program.current;
+    call.decision +=
+        absl::StrFormat(", waited %d ms", millisOf(m_parts.clock.now() - call.arrived));
+    if (!call.request.idempotent && m_mechanisms.intents) {
+        commitIntent(program);
+        return;
+    }
+    dispatch(program);
+}
+
+// --- At most once ------------------------------------------------------------
+
+void CallEngine::commitIntent(Program &program)
+{
+    ActiveCall &call = *program.current;
+    call.stage = CallStage::Intending;
+    call.intentDurable = false;
+    IntentRecord intent;
+    intent.number = call.request.number;
+    intent.bodyHash = call.request.bodyHash;
+    intent.idempotencyKey = call.request.idempotencyKey;
+    intent.replica = call.replica.id;
+    intent.pool = call.request.pool;
+    intent.isService = call.request.isService;
+    intent.vm = m_parts.settings.vm;
+    intent.fence = m_parts.commits.fence();
+    intent.reserved = call.reserved;
+    intent.unixMillis = unixMillis(m_parts.clock.wallNow());
+    const std::string value = encode(intent);
+    const ProgramKey key = program.key;
+    const CallNumber number = intent.number;
+    CommitItem item;
+    item.writes.push_back({keys::intent(program.shard, key, number), value});
+    item.writes.push_back({keys::intentIndex(key, number), value});
+    item.done = [this, key, number](const CommitResult &result) { onIntent(key, number, result); };
+    m_parts.commits.enqueue(std::move(item));
+}
+
+void CallEngine::onIntent(const ProgramKey &key, CallNumber number, const CommitResult &result)
+{
+    Program *program = findCurrent(key, number, CallStage::Intending);
+    if (program == nullptr) {
+        return;
+    }
+    ActiveCall &call = *program->current;
+    if (result.kind != CommitResult::Kind::Committed) {
+        refuseCurrent(*program,
+                      makeRefusal(Verdict::NotRun, Reason::NoLease,
+                                  "this VM has lost its ownership", RetryAfterTrouble));
+        return;
+    }
+    call.intentDurable = true;
+    if (call.handles.empty()) {
+        // Its caller has been told that it was not run.
+        abandonIntent(*program);
+        return;
+    }
+    if (!m_parts.commits.leaseValid()) {
+        refuseCurrent(*program,
+                      makeRefusal(Verdict::NotRun, Reason::NoLease,
+                                  "the lease lapsed before the call could be sent",
+                                  RetryAfterTrouble));
+        return;
+    }
+    dispatch(*program);
+}
+
+void CallEngine::abandonIntent(Program &program)
+{
+    deleteIntent(program, program.current->request.number);
+    giveUpReservations(*program.current);
+    program.current.reset();
+    advance(program);
+}
+
+void CallEngine::deleteIntent(const Program &program, CallNumber number)
+{
+    CommitItem item;
+    item.writes.push_back({keys::intent(program.shard, program.key, number), std::nullopt});
+    item.writes.push_back({keys::intentIndex(program.key, number), std::nullopt});
+    item.done = [](const CommitResult &) {};
+    m_parts.commits.enqueue(std::move(item));
+}
+
+// --- At a backend server -----------------------------------------------------
+
+void CallEngine::dispatch(Program &program)
+{
+    ActiveCall &call = *program.current;
+    const PoolSettings &pool = *poolOf(call.request.pool);
+    call.stage = CallStage::Running;
+    call.attempts += 1;
+    call.dispatchedAt = m_parts.clock.now();
+    if (!pool.isService && program.open.replicas.insert(call.replica.id).second) {
+        program.openStale = true;
+    }
+    BackendCall backend;
+    backend.program = program.key;
+    backend.number = call.request.number;
+    backend.replica = call.replica;
+    backend.pool = pool.name;
+    backend.isService = pool.isService;
+    backend.idempotent = call.request.idempotent;
+    backend.idempotencyKey = call.request.idempotencyKey;
+    backend.fence = m_parts.commits.fence();
+    backend.silenceLimit = pool.silenceLimit;
+    backend.sendBefore = m_parts.commits.leaseEnd();
+    if (pool.isService) {
+        backend.path = call.request.path;
+        backend.body = call.request.content;
+    } else {
+        backend.path = "/v1/chat/completions";
+        const std::int64_t maxTokens =
+            call.request.maxTokens > 0 ? call.request.maxTokens : pool.defaultMaxTokens;
+        backend.body = composeModelBody(program, call.request, maxTokens);
+    }
+    m_parts.loads.ownCall(call.replica.id, 1);
+    m_running[call.handles.front()] = program.key;
+    m_parts.effects.dispatch(call.handles.front(), backend);
+}
+
+void CallEngine::onBackend(CallHandle handle, const BackendOutcome &outcome)
+{
+    const auto running = m_running.find(handle);
+    if (running == m_running.end()) {
+        return;
+    }
+    Program *program = findProgram(running->second);
+    m_running.erase(running);
+    if (program == nullptr || !program->current.has_value()
+        || program->current->stage != CallStage::Running) {
+        return;
+    }
+    ActiveCall &call = *program->current;
+    program->lastActivity = m_parts.clock.now();
+    m_parts.loads.ownCall(call.replica.id, -1);
+    if (call.permit != PermitId()) {
+        m_parts.permits.release(std::exchange(call.permit, PermitId()));
+    }
+    if (outcome.complete) {
+        m_parts.loads.ownSuccess(call.replica.id);
+        finish(*program, outcome);
+        return;
+    }
+    m_parts.loads.ownFailure(call.replica.id);
+    onFailure(*program, outcome);
+}
+
+TurnRecord CallEngine::describeTurn(const Program &program, const BackendOutcome &outcome) const
+{
+    const ActiveCall &call = *program.current;
+    TurnRecord turn;
+    turn.number = call.request.number;
+    turn.bodyHash = call.request.bodyHash;
+    turn.isService = call.request.isService;
+    turn.idempotent = call.request.idempotent;
+    if (!turn.isService) {
+        turn.messages = call.request.content;
+    }
+    turn.answer = outcome.answer;
+    turn.finishReason = outcome.finishReason;
+    turn.status = outcome.status;
+    turn.pool = call.request.pool;
+    turn.replica = call.replica.id;
+    turn.vm = m_parts.settings.vm;
+    turn.usage = outcome.usage;
+    turn.serviceMillis = millisOf(m_parts.clock.now() - call.dispatchedAt);
+    turn.startedUnixMillis = unixMillis(call.arrivedWall);
+    turn.endedUnixMillis = unixMillis(m_parts.clock.wallNow());
+    turn.last = call.request.last;
+    turn.decision = call.decision;
+    return turn;
+}
+
+void CallEngine::finish(Program &program, const BackendOutcome &outcome)
+{
+    ActiveCall &call = *program.current;
+    const PoolSettings &pool = *poolOf(call.request.pool);
+    TurnRecord turn = describeTurn(program, outcome);
+    turn.cost =
+        costOf(pool, turn.isService ? 0 : turn.usage.promptTokens + turn.usage.completionTokens);
+    if (!fitsWithin(turn.cost, call.reserved) && m_mechanisms.reserve) {
+        m_parts.effects.log("cost-above-reservation", call.replica.id.value());
+    }
+    m_retryBudget = std::min(RetryBudgetMost, m_retryBudget + RetryShare);
+    double &mean = m_meanServiceMillis.try_emplace(pool.name, MeanServiceStartMillis).first->second;
+    mean += MeanWeight * (static_cast<double>(turn.serviceMillis) - mean);
+    m_statistics.promptTokens += turn.usage.promptTokens;
+    m_statistics.cachedTokens += turn.usage.cachedTokens;
+    m_statistics.completionTokens += turn.usage.completionTokens;
+    recordTurn(program, turn);
+}
+
+void CallEngine::writeOpen(Program &program, CommitItem &item)
+{
+    if (!program.openStale && program.openDurable) {
+        return;
+    }
+    program.openStale = false;
+    item.writes.push_back({keys::open(program.shard, program.key), encode(program.open)});
+}
+
+void CallEngine::recordTurn(Program &program, const TurnRecord &turn)
+{
+    ActiveCall &call = *program.current;
+    call.stage = CallStage::Recording;
+    CommitItem item;
+    item.writes.push_back({keys::turn(program.shard, program.key, turn.number), encode(turn)});
+    if (!turn.idempotent) {
+        item.writes.push_back(
+            {keys::intent(program.shard, program.key, turn.number), std::nullopt});
+        if (turn.verdict == Verdict::Ran) {
+            item.writes.push_back({keys::intentIndex(program.key, turn.number), std::nullopt});
+        }
+    }
+    if (turn.last) {
+        program.open.ended = true;
+        program.openStale = true;
+    }
+    writeOpen(program, item);
+    const Amount reserved = std::exchange(call.reserved, Amount{});
+    if (m_mechanisms.reserve) {
+        m_parts.ledger.settle(program.key.entry, call.period, reserved, turn.cost, item);
+    }
+    const ProgramKey key = program.key;
+    item.done = [this, key, turn](const CommitResult &result) { onRecorded(key, turn, result); };
+    if (!m_mechanisms.recordBeforeAnswer) {
+        CallAnswer answer;
+        answer.turn = turn;
+        answer.nextCall = CallNumber(turn.number.value() + 1);
+        for (const CallHandle handle : call.handles) {
+            m_parts.effects.answer(handle, answer);
+        }
+        call.handles.clear();
+    }
+    m_parts.commits.enqueue(std::move(item));
+}
+
+void CallEngine::onRecorded(const ProgramKey &key, const TurnRecord &turn,
+                            const CommitResult &result)
+{
+    Program *program = findCurrent(key, turn.number, CallStage::Recording);
+    if (program == nullptr) {
+        return;
+    }
+    if (result.kind != CommitResult::Kind::Committed) {
+        refuseCurrent(*program,
+                      makeRefusal(Verdict::MayHaveRun, Reason::RecordLost,
+                                  "it ran, but this VM lost its ownership before it was recorded",
+                                  RetryAfterTrouble));
+        return;
+    }
+    program->openDurable = true;
+    program->addTurn(turn);
+    const std::vector<CallHandle> handles = std::move(program->current->handles);
+    giveUpReservations(*program->current);
+    program->current.reset();
+    CallAnswer answer;
+    answer.turn = turn;
+    answer.nextCall = program->next;
+    if (turn.verdict != Verdict::Ran) {
+        answer.refusal = makeRefusal(Verdict::MayHaveRun, Reason::OutcomeUnknown,
+                                     "the call may have run; its outcome is not known");
+        m_statistics.mayHaveRun += 1;
+    }
+    m_statistics.answered += 1;
+    bool first = true;
+    for (const CallHandle handle : handles) {
+        answer.replayed = !first;
+        first = false;
+        m_parts.effects.answer(handle, answer);
+    }
+    if (turn.last) {
+        noteEnd(*program, false);
+        beginRelease(*program);
+    }
+    advance(*program);
+}
+
+bool CallEngine::mayRetry(const ActiveCall &call, const BackendOutcome &outcome) const
+{
+    const bool harmless = !outcome.sent || (call.request.idempotent && !outcome.forwarded);
+    return harmless && call.attempts < MaxAttempts && m_retryBudget >= 1;
+}
+
+void CallEngine::onFailure(Program &program, const BackendOutcome &outcome)
+{
+    ActiveCall &call = *program.current;
+    call.everSent = call.everSent || outcome.sent;
+    m_parts.effects.log("backend-failed",
+                        absl::StrCat(call.replica.id.value(), ": ", outcome.error));
+    if (mayRetry(call, outcome)) {
+        m_retryBudget -= 1;
+        m_statistics.retries += 1;
+        call.stage = CallStage::Backoff;
+        call.excluded.insert(call.replica.id);
+        const std::int64_t ceiling = FirstRetryDelay.count() << call.attempts;
+        std::uniform_int_distribution<std::int64_t> spread(ceiling / 2, ceiling);
+        call.retryAt = m_parts.clock.now() + Milliseconds(spread(m_random));
+        call.decision += absl::StrCat("; failed: ", outcome.error);
+        return;
+    }
+    const bool sentOnce = outcome.sent && !call.request.idempotent;
+    if (!sentOnce) {
+        refuseCurrent(program,
+                      makeRefusal(outcome.sent ? Verdict::MayHaveRun : Verdict::NotRun,
+                                  Reason::BackendFailed, outcome.error, RetryAfterFailure));
+        return;
+    }
+    TurnRecord turn = describeTurn(program, outcome);
+    turn.verdict = Verdict::MayHaveRun;
+    turn.cost = call.reserved;
+    recordTurn(program, turn);
+}
+
+} // namespace boragepath
--- a/control/node.cpp
+++ b/control/node.cpp
@@ -441,7 +441,7 @@
         refuse(handle, *refusal);
         return;
     }
-    m_engine.submit(entry, std::move(request));
+    m_engine.submit(std::move(request));
     flush();
 }
 
@@ -780,7 +780,7 @@
     gauges.ownedShards = m_shards.ownedCount();
     gauges.programs = m_engine.programCount();
     gauges.callsUnderWay = m_engine.callsUnderWay();
-    for (const auto &[replica, gatekeeper] : const_cast<GatekeeperSet &>(m_gatekeepers).all()) {
+    for (const auto &[replica, gatekeeper] : m_gatekeepers.all()) {
         gauges.permitsRunning += gatekeeper.running();
         gauges.permitsWaiting += gatekeeper.waiting();
     }
--- a/control/permit_client.h
+++ b/control/permit_client.h
@@ -36,6 +36,7 @@
     void dropVm(const VmId &vm, FenceNumber newestGone);
     void tick();
     std::map<ReplicaId, Gatekeeper> &all() { return m_gatekeepers; }
+    const std::map<ReplicaId, Gatekeeper> &all() const { return m_gatekeepers; }
 
 private:
     const Settings &m_settings;
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -140,14 +140,13 @@
 
 void Daemon::finish()
 {
-    if (!m_finishing) {
-        m_finishing = true;
+    if (!m_finishStarted.has_value()) {
+        m_finishStarted = m_clock.now();
         m_server.stopListening();
     }
     // Answers that were decided must still reach their callers.
     const bool idle = m_server.requestsUnderWay() == 0;
-    static const SteadyTime started = m_clock.now();
-    if (idle || m_clock.now() >= started + FinishLimit) {
+    if (idle || m_clock.now() >= *m_finishStarted + FinishLimit) {
         m_control.stop();
         return;
     }
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -81,7 +82,8 @@
     std::map<CallHandle, std::shared_ptr<CallChannel>> m_channels;
     std::atomic<std::uint64_t> m_nextHandle = 1;
     std::vector<std::thread> m_threads;
-    bool m_finishing = false;
+    /** When the planned stop had nothing left to decide. */
+    std::optional<SteadyTime> m_finishStarted;
 };
 
 /** Reads certificate and key; refuses a key that others may read. */
