--- a/main/boragepath.cpp
+++ b/main/boragepath.cpp
@@ -1,73 +1,9 @@
 // The command line tool for operators.
 
+#include "operators/arguments.h"
 #include "operators/command_line.h"
 
-#include <docopt/docopt.h>
-
-namespace {
-
-constexpr const char *Usage = R"(boragepath - operate a boragepath deployment
-
-Usage:
-  boragepath [options] catalogue apply FILE [--dry-run] [--base REVISION]
-  boragepath [options] catalogue show
-  boragepath [options] catalogue diff FILE
-  boragepath [options] catalogue status
-  boragepath [options] programs
-  boragepath [options] explain ENTRY PROGRAM
-  boragepath [options] intents list
-  boragepath [options] intents resolve ENTRY PROGRAM CALL OUTCOME
-  boragepath [options] budgets
-  boragepath [options] report burn
-  boragepath [options] vms
-  boragepath [options] drain
-  boragepath [options] log-level LEVEL
-  boragepath (-h | --help)
-
-Options:
-  --daemon ADDRESS  Address and port of any daemon [default: 127.0.0.11:7001].
-  --key-file FILE   File with the operator key [default: operator.key].
-  --tls             Connect with TLS.
-  --json            Print JSON for machines.
-  -h --help         Show this text.
-
-OUTCOME is ran or not-run. drain begins a planned stop of the daemon that is
-asked. Exit codes: 0 done, 1 failed, 2 bad arguments, 3 conflict with another
-edit, 4 the daemon cannot be reached.
-)";
-
-} // namespace
-
 int main(int argc, char **argv)
 {
-    const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true, "boragepath");
-    boragepath::CommandLine command;
-    command.daemon = arguments.at("--daemon").asString();
-    command.keyFile = arguments.at("--key-file").asString();
-    command.useTls = arguments.at("--tls").asBool();
-    command.json = arguments.at("--json").asBool();
-    for (const char *word : {"catalogue", "programs", "explain", "intents", "budgets", "report",
-                             "vms", "drain", "log-level"}) {
-        if (arguments.at(word).asBool()) {
-            command.subject = word;
-        }
-    }
-    for (const char *word : {"apply", "show", "diff", "status", "list", "resolve", "burn"}) {
-        if (arguments.at(word).asBool()) {
-            command.verb = word;
-        }
-    }
-    const auto textOf = [&](const char *name) {
-        const docopt::value &value = arguments.at(name);
-        return value.isString() ? value.asString() : std::string();
-    };
-    command.file = textOf("FILE");
-    command.dryRun = arguments.at("--dry-run").asBool();
-    command.base = textOf("--base");
-    command.entry = textOf("ENTRY");
-    command.program = textOf("PROGRAM");
-    command.call = textOf("CALL");
-    command.outcome = textOf("OUTCOME");
-    command.level = textOf("LEVEL");
-    return boragepath::runCommand(command);
+    return boragepath::runCommand(boragepath::parseArguments({argv + 1, argv + argc}));
 }
--- a/operators/tables.cpp
+++ b/operators/tables.cpp
@@ -34,6 +34,9 @@
     if (value->is_string()) {
         return {value->get_string().data(), value->get_string().size()};
     }
+    if (value->is_double()) {
+        return absl::StrFormat("%g", value->get_double());
+    }
     if (value->is_object() && value->get_object().contains("tokens")) {
         return absl::StrCat(cell(*value, "tokens"), " / ", cell(*value, "micros"));
     }
--- /dev/null
+++ b/tests/operators/arguments_test.cpp
@@ -0,0 +1,43 @@
+#include "operators/arguments.h"
+
+#include <gtest/gtest.h>
+
+namespace boragepath {
+
+TEST(Arguments, AnEditKeepsItsBaseAndItsFile)
+{
+    const CommandLine command =
+        parseArguments({"catalogue", "apply", "catalogue.json", "--base", "41"});
+    EXPECT_EQ(command.subject, "catalogue");
+    EXPECT_EQ(command.verb, "apply");
+    EXPECT_EQ(command.file, "catalogue.json");
+    EXPECT_EQ(command.base, "41");
+    EXPECT_FALSE(command.dryRun);
+}
+
+TEST(Arguments, ADryRunIsSeen)
+{
+    EXPECT_TRUE(parseArguments({"catalogue", "apply", "catalogue.json", "--dry-run"}).dryRun);
+}
+
+TEST(Arguments, OptionsMayStandInFront)
+{
+    const CommandLine command =
+        parseArguments({"--json", "--daemon", "127.0.0.12:7001", "explain", "counter", "p-1"});
+    EXPECT_TRUE(command.json);
+    EXPECT_EQ(command.daemon, "127.0.0.12:7001");
+    EXPECT_EQ(command.entry, "counter");
+    EXPECT_EQ(command.program, "p-1");
+}
+
+TEST(Arguments, AnIntentIsNamedWhole)
+{
+    const CommandLine command =
+        parseArguments({"intents", "resolve", "counter", "p-1", "3", "not-run"});
+    EXPECT_EQ(command.subject, "intents");
+    EXPECT_EQ(command.verb, "resolve");
+    EXPECT_EQ(command.call, "3");
+    EXPECT_EQ(command.outcome, "not-run");
+}
+
+} // namespace boragepath
