Remove dead fields and a key; one mean service time, one idle measurement

Cause: read of the whole change. permitAskedAt, heardAt, the key of segments that are not built and a forward declaration were used by nothing; the mean service time of a pool was looked up in two places; four idle slopes were four copies. Change: removed, or one piece each; behaviour is as before.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -102,26 +102,20 @@
         bench.run(Span);
         return (cpuSeconds() - before) * MicrosPerSecond / Span.count();
     });
-    slope("idle node: bytes between VMs", "B/s", "VM", members, 330, [&](double count) {
-        BenchNode bench(sizeOf(count, replicasFor(count), 100));
-        bench.run(Span);
-        return static_cast<double>(bench.traffic().peerBytes) / Span.count();
-    });
-    slope("idle node: bytes with the table", "B/s", "VM", members, 330, [&](double count) {
-        BenchNode bench(sizeOf(count, replicasFor(count), 100));
-        bench.run(Span);
-        return static_cast<double>(bench.traffic().tableBytes) / Span.count();
-    });
-    slope("idle node: table reads", "1/s", "VM", members, 330, [&](double count) {
-        BenchNode bench(sizeOf(count, replicasFor(count), 100));
-        bench.run(Span);
-        return static_cast<double>(bench.traffic().reads) / Span.count();
-    });
-    slope("idle node: table transactions", "1/s", "VM", members, 330, [&](double count) {
-        BenchNode bench(sizeOf(count, replicasFor(count), 100));
-        bench.run(Span);
-        return static_cast<double>(bench.traffic().transactions) / Span.count();
-    });
+    const auto perSecond = [&](std::int64_t Traffic::*counter) {
+        return [&, counter](double count) {
+            BenchNode bench(sizeOf(count, replicasFor(count), 100));
+            bench.run(Span);
+            return static_cast<double>(bench.traffic().*counter) / Span.count();
+        };
+    };
+    slope("idle node: bytes between VMs", "B/s", "VM", members, 330,
+          perSecond(&Traffic::peerBytes));
+    slope("idle node: bytes with the table", "B/s", "VM", members, 330,
+          perSecond(&Traffic::tableBytes));
+    slope("idle node: table reads", "1/s", "VM", members, 330, perSecond(&Traffic::reads));
+    slope("idle node: table transactions", "1/s", "VM", members, 330,
+          perSecond(&Traffic::transactions));
     slope("membership, shards, loads: memory", "B", "VM", members, 330, [&](double count) {
         const double before = heapBytes();
         const BenchNode bench(sizeOf(count, replicasFor(count), 1));
--- a/control/call_engine.h
+++ b/control/call_engine.h
@@ -139,6 +139,7 @@
     void start(Program &program, CallRequest request);
     void reserve(Program &program);
     void choose(Program &program);
+    double meanServiceMillis(const PoolName &pool) const;
     std::vector<ReplicaView> viewsFor(const ActiveCall &call, const PoolSettings &pool) const;
     void askPermit(Program &program, const PoolSettings &pool);
     void onPermit(const ProgramKey &key, CallNumber number, PermitId permit,
--- a/control/call_engine_run.cpp
+++ b/control/call_engine_run.cpp
@@ -134,6 +134,12 @@
     return nullptr;
 }
 
+double CallEngine::meanServiceMillis(const PoolName &pool) const
+{
+    const auto mean = m_meanServiceMillis.find(pool);
+    return mean == m_meanServiceMillis.end() ? MeanServiceStartMillis : mean->second;
+}
+
 std::vector<ReplicaView> CallEngine::viewsFor(const ActiveCall &call,
                                               const PoolSettings &pool) const
 {
@@ -182,9 +188,7 @@
         question.entryHome = home->id;
     }
     question.usefulBatch = pool.usefulBatch;
-    const auto mean = m_meanServiceMillis.find(pool.name);
-    question.meanServiceMillis =
-        mean == m_meanServiceMillis.end() ? MeanServiceStartMillis : mean->second;
+    question.meanServiceMillis = meanServiceMillis(pool.name);
     question.prefillMillisPerToken =
         static_cast<double>(pool.prefillPerThousandTokens.count()) / TokensPerThousand;
     question.turn = m_placements++;
@@ -222,7 +226,6 @@
     ActiveCall &call = *program.current;
     call.stage = CallStage::Queued;
     call.permit = PermitId();
-    call.permitAskedAt = m_parts.clock.now();
     const Entry *entry = m_parts.catalogue.find(program.key.entry);
     peers::PermitRequest request;
     request.replica = call.replica.id.value();
@@ -299,9 +302,7 @@
     const PoolSettings &pool = *poolOf(call.request.pool);
     PlacementQuestion question;
     question.usefulBatch = pool.usefulBatch;
-    const auto mean = m_meanServiceMillis.find(pool.name);
-    question.meanServiceMillis =
-        mean == m_meanServiceMillis.end() ? MeanServiceStartMillis : mean->second;
+    question.meanServiceMillis = meanServiceMillis(pool.name);
     const ReplicaView here{call.replica.id, static_cast<double>(reply.running),
                            static_cast<double>(reply.waiting), true};
     const double prefillMillis = static_cast<double>(program.historyTokens())
--- a/control/program.h
+++ b/control/program.h
@@ -73,7 +73,6 @@
     bool everSent = false;
     int moves = 0;
     bool intentDurable = false;
-    SteadyTime permitAskedAt;
     SteadyTime dispatchedAt;
     SteadyTime retryAt;
     std::string decision;
--- a/control/records.cpp
+++ b/control/records.cpp
@@ -221,11 +221,6 @@
     return absl::StrCat(program(shard, key), "ended");
 }
 
-std::string segment(ShardIndex shard, const ProgramKey &key, CallNumber upTo)
-{
-    return absl::StrCat(program(shard, key), "segment/", numberText(upTo));
-}
-
 std::string openPrefix(ShardIndex shard)
 {
     return absl::StrCat("open/", shardText(shard), "/");
--- a/control/records.h
+++ b/control/records.h
@@ -37,7 +37,6 @@
 std::string intent(ShardIndex shard, const ProgramKey &key, CallNumber number);
 /** Marks a program that was ended other than by its last call. */
 std::string ended(ShardIndex shard, const ProgramKey &key);
-std::string segment(ShardIndex shard, const ProgramKey &key, CallNumber upTo);
 std::string openPrefix(ShardIndex shard);
 std::string open(ShardIndex shard, const ProgramKey &key);
 std::string intentIndexPrefix();
--- a/control/replica_loads.cpp
+++ b/control/replica_loads.cpp
@@ -29,7 +29,6 @@
     known.waiting = load.waiting;
     known.version = load.version;
     known.leaving = load.leaving;
-    known.heardAt = m_clock.now();
     known.spread = 0;
 }
 
@@ -38,7 +37,6 @@
     Load &known = m_loads[replica];
     known.running = running;
     known.waiting = waiting;
-    known.heardAt = m_clock.now();
 }
 
 void ReplicaLoads::ownCall(const ReplicaId &replica, int change)
--- a/control/replica_loads.h
+++ b/control/replica_loads.h
@@ -20,7 +20,6 @@
         double waiting = 0;
         std::int64_t version = 0;
         bool leaving = false;
-        SteadyTime heardAt;
         /** Times that the load was passed on since it was heard. */
         int spread = 0;
         /** Connection failures since the last success. */
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -42,8 +42,6 @@
     std::int64_t requestsUnderWay() const { return *m_requests; }
 
 private:
-    struct Shared;
-
     boost::asio::awaitable<void> accept(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor);
 
     boost::asio::io_context &m_context;
