--- /dev/null
+++ b/backends/replica_link.cpp
@@ -0,0 +1,212 @@
+#include "backends/replica_link.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace boragepath {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::redirect_error;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+/** One read; an event of a stream is a few hundred bytes. */
+constexpr std::size_t ReadSize = 8'192;
+/** Unacknowledged bytes for this long mean that the other side is gone or cut off. */
+constexpr int UserTimeoutMillis = 2'000;
+/** Idle connections kept to one server. */
+constexpr std::size_t MaxIdleLinks = 6;
+
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+} // namespace
+
+struct ReplicaLink::State
+{
+    explicit State(const asio::any_io_executor &executor)
+        : stream(executor)
+    { }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+};
+
+ReplicaLink::ReplicaLink(const asio::any_io_executor &executor)
+    : m_state(std::make_unique<State>(executor))
+{ }
+
+ReplicaLink::~ReplicaLink() = default;
+
+asio::awaitable<bool> ReplicaLink::connect(const Endpoint &endpoint, Milliseconds limit)
+{
+    beast::error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        co_return false;
+    }
+    beast::tcp_stream &stream = m_state->stream;
+    stream.expires_after(limit);
+    const tcp::endpoint target(address, endpoint.port);
+    co_await stream.async_connect(target, redirect_error(use_awaitable, error));
+    if (error) {
+        co_return false;
+    }
+    beast::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    stream.socket().set_option(UserTimeout(UserTimeoutMillis), ignored);
+    co_return true;
+}
+
+asio::awaitable<bool> ReplicaLink::send(const std::string &head,
+                                        const std::vector<const std::string *> &body,
+                                        SteadyTime until)
+{
+    std::vector<asio::const_buffer> buffers{asio::buffer(head)};
+    for (const std::string *part : body) {
+        buffers.push_back(asio::buffer(*part));
+    }
+    beast::error_code error;
+    m_state->stream.expires_at(until);
+    co_await asio::async_write(m_state->stream, buffers, redirect_error(use_awaitable, error));
+    co_return !error;
+}
+
+asio::awaitable<bool> ReplicaLink::readHead(HttpResponse &head, SteadyTime until)
+{
+    beast::error_code error;
+    do {
+        m_state->parser.emplace();
+        m_state->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        m_state->stream.expires_at(until);
+        co_await http::async_read_header(m_state->stream, m_state->buffer, *m_state->parser,
+                                         redirect_error(use_awaitable, error));
+    } while (!error && m_state->parser->get().result_int() / 100 == 1);
+    if (error) {
+        co_return false;
+    }
+    const auto &message = m_state->parser->get();
+    head.status = message.result_int();
+    head.fields.clear();
+    for (const auto &field : message) {
+        head.fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> ReplicaLink::readSome(std::string &body, SteadyTime until)
+{
+    auto &parser = *m_state->parser;
+    if (parser.is_done()) {
+        co_return true;
+    }
+    const std::size_t before = body.size();
+    body.resize(before + ReadSize);
+    parser.get().body().data = body.data() + before;
+    parser.get().body().size = ReadSize;
+    parser.get().body().more = true;
+    m_state->stream.expires_at(until);
+    beast::error_code error;
+    co_await http::async_read_some(m_state->stream, m_state->buffer, parser,
+                                   redirect_error(use_awaitable, error));
+    body.resize(before + ReadSize - parser.get().body().size);
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    co_return !error;
+}
+
+bool ReplicaLink::done() const
+{
+    return m_state->parser.has_value() && m_state->parser->is_done();
+}
+
+bool ReplicaLink::reusable() const
+{
+    return !m_spoiled && done() && m_state->parser->get().keep_alive()
+        && m_state->buffer.size() == 0 && m_state->stream.socket().is_open();
+}
+
+void ReplicaLink::close()
+{
+    m_spoiled = true;
+    m_state->stream.close();
+}
+
+bool ReplicaLink::silent()
+{
+    char byte = 0;
+    beast::error_code error;
+    tcp::socket &socket = m_state->stream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+ReplicaLinks::ReplicaLinks(asio::any_io_executor executor, const Clock &clock)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+{ }
+
+ReplicaLinks::~ReplicaLinks() = default;
+
+std::shared_ptr<ReplicaLink> ReplicaLinks::takeIdle(const Endpoint &endpoint, Duration freshness)
+{
+    const auto found = m_idle.find(endpoint);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    const SteadyTime now = m_clock.now();
+    std::vector<Idle> &idle = found->second;
+    while (!idle.empty()) {
+        // The one used last is the most surely alive.
+        if (now >= idle.back().since + freshness) {
+            return nullptr;
+        }
+        const Idle candidate = std::move(idle.back());
+        idle.pop_back();
+        if (now < candidate.until && candidate.link->silent()) {
+            return candidate.link;
+        }
+    }
+    return nullptr;
+}
+
+std::shared_ptr<ReplicaLink> ReplicaLinks::makeLink() const
+{
+    return std::make_shared<ReplicaLink>(m_executor);
+}
+
+void ReplicaLinks::giveBack(const Endpoint &endpoint, std::shared_ptr<ReplicaLink> link,
+                            Duration idleLimit)
+{
+    std::vector<Idle> &idle = m_idle[endpoint];
+    if (idle.size() >= MaxIdleLinks) {
+        idle.erase(idle.begin());
+    }
+    const SteadyTime now = m_clock.now();
+    idle.push_back({std::move(link), now, now + idleLimit});
+}
+
+void ReplicaLinks::closeStale()
+{
+    const SteadyTime now = m_clock.now();
+    for (auto &[endpoint, idle] : m_idle) {
+        std::erase_if(idle, [&](const Idle &item) { return now >= item.until; });
+    }
+    std::erase_if(m_idle, [](const auto &item) { return item.second.empty(); });
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/control/call_scheduler.cpp
@@ -0,0 +1,334 @@
+#include "control/call_scheduler.h"
+
+#include "core/logging.h"
+
+#include <limits>
+
+namespace boragepath {
+
+namespace {
+
+/** Callers that state no patience get the route's time, and this if it states none either. */
+constexpr Milliseconds DefaultPatience{30'000};
+/** Longest wait for the store before a turn is refused: callers may try another VM. */
+constexpr Milliseconds StorePatience{1'200};
+/** A replica frees a place about this fast. */
+constexpr Milliseconds ReplicaRetryAfter{150};
+/** An outage of the store lasts seconds; coming back sooner is in vain. */
+constexpr Milliseconds StoreRetryAfter{700};
+constexpr Milliseconds ConfigurationRetryAfter{300};
+/** Several replicas may decline a call before it is given up. */
+constexpr int MaxDispatches = 4;
+/** VMs that may be added while connections are open; they need a share too. */
+constexpr std::size_t SpareVms = 2;
+
+Milliseconds retryAfterOf(CallRefusalReason reason)
+{
+    switch (reason) {
+    case CallRefusalReason::NoConfiguration:
+        return ConfigurationRetryAfter;
+    case CallRefusalReason::StoreAway:
+        return StoreRetryAfter;
+    case CallRefusalReason::NoReplica:
+    case CallRefusalReason::OutOfTime:
+        return ReplicaRetryAfter;
+    case CallRefusalReason::NoRoute:
+    case CallRefusalReason::BadCall:
+    case CallRefusalReason::BudgetSpent:
+    case CallRefusalReason::UnknownTurn:
+        break;
+    }
+    return Milliseconds(0);
+}
+
+/** A call without a program is one of its own. */
+ProgramId programOf(const IncomingCall &call)
+{
+    return call.program.value().empty() ? ProgramId(call.attempt.value()) : call.program;
+}
+
+} // namespace
+
+std::string_view refusalReasonName(CallRefusalReason reason)
+{
+    switch (reason) {
+    case CallRefusalReason::NoConfiguration:
+        return "no-configuration";
+    case CallRefusalReason::NoRoute:
+        return "no-route";
+    case CallRefusalReason::BadCall:
+        return "bad-call";
+    case CallRefusalReason::BudgetSpent:
+        return "budget-spent";
+    case CallRefusalReason::UnknownTurn:
+        return "unknown-turn";
+    case CallRefusalReason::StoreAway:
+        return "store-away";
+    case CallRefusalReason::NoReplica:
+        return "no-replica";
+    case CallRefusalReason::OutOfTime:
+        return "out-of-time";
+    }
+    return "unknown";
+}
+
+CallScheduler::CallScheduler(Parts parts)
+    : m_parts(std::move(parts))
+{ }
+
+bool CallScheduler::useRoutes(std::shared_ptr<const RouteTable> table)
+{
+    if (m_table != nullptr && table->version <= m_table->version) {
+        return false;
+    }
+    m_table = std::move(table);
+    return true;
+}
+
+std::optional<CallRefusal> CallScheduler::admit(Call &call) const
+{
+    if (m_table == nullptr) {
+        return CallRefusal{CallRefusalReason::NoConfiguration, ConfigurationRetryAfter};
+    }
+    call.table = m_table;
+    call.route = matchRoute(*m_table, call.incoming.host, call.incoming.path);
+    if (call.route == nullptr || call.route->services.empty()) {
+        return CallRefusal{CallRefusalReason::NoRoute, Milliseconds(0)};
+    }
+    Milliseconds patience = call.incoming.patience.value_or(DefaultPatience);
+    if (call.route->timeout.count() > 0) {
+        patience = std::min(patience, call.route->timeout);
+    }
+    call.deadline = call.openedAt + patience;
+    call.service = serviceFor(*call.route, programOf(call.incoming).value());
+    return std::nullopt;
+}
+
+void CallScheduler::open(const IncomingCall &incoming,
+                         std::function<void(const CallDecision &)> done)
+{
+    Call call;
+    call.incoming = incoming;
+    call.openedAt = m_parts.clock.now();
+    call.done = std::move(done);
+    const CallHandle handle(m_nextHandle++);
+    const std::optional<CallRefusal> refusal = admit(call);
+    Call &opened = m_calls[handle] = std::move(call);
+    if (refusal.has_value()) {
+        refuse(handle, refusal->reason);
+        return;
+    }
+    if (opened.route->keepsTurns && !opened.incoming.previousTurn.value().empty()) {
+        findHistory(handle);
+        return;
+    }
+    reserve(handle);
+}
+
+void CallScheduler::findHistory(CallHandle handle)
+{
+    Call &call = m_calls[handle];
+    const SteadyTime until = std::min(call.deadline, call.openedAt + StorePatience);
+    m_parts.conversations.find(
+        programOf(call.incoming), call.incoming.previousTurn, until,
+        [this, handle](ConversationLookup lookup, const Conversation &conversation) {
+            if (lookup == ConversationLookup::Absent) {
+                refuse(handle, CallRefusalReason::UnknownTurn);
+                return;
+            }
+            if (lookup == ConversationLookup::StoreAway) {
+                refuse(handle, CallRefusalReason::StoreAway);
+                return;
+            }
+            m_calls[handle].history = conversation;
+            reserve(handle);
+        });
+}
+
+void CallScheduler::reserve(CallHandle handle)
+{
+    Call &call = m_calls[handle];
+    const IncomingCall &incoming = call.incoming;
+    if (!incoming.tokenBudget.has_value() && !call.route->keepsTurns) {
+        dispatch(handle);
+        return;
+    }
+    // A kept turn without a budget is recorded all the same.
+    const std::int64_t budget =
+        incoming.tokenBudget.value_or(std::numeric_limits<std::int64_t>::max());
+    const TurnClaim claim{programOf(incoming), incoming.attempt, budget, incoming.mostTokens};
+    const SteadyTime until = std::min(call.deadline, call.openedAt + StorePatience);
+    m_parts.ledger.reserve(claim, until, [this, handle](Reservation reservation) {
+        if (reservation == Reservation::BudgetSpent) {
+            refuse(handle, CallRefusalReason::BudgetSpent);
+            return;
+        }
+        if (reservation == Reservation::StoreAway) {
+            refuse(handle, CallRefusalReason::StoreAway);
+            return;
+        }
+        m_calls[handle].reserved = true;
+        dispatch(handle);
+    });
+}
+
+std::int64_t CallScheduler::connectionShare(const PoolName &service) const
+{
+    const auto found = m_table->services.find(service);
+    if (found == m_table->services.end() || found->second.maxConnections <= 0) {
+        return std::numeric_limits<std::int64_t>::max();
+    }
+    const auto vms = static_cast<std::int64_t>(m_parts.vms.liveCount() + SpareVms);
+    return std::max<std::int64_t>(1, found->second.maxConnections / vms);
+}
+
+void CallScheduler::dispatch(CallHandle handle)
+{
+    Call &call = m_calls[handle];
+    if (m_parts.clock.now() >= call.deadline) {
+        refuse(handle, CallRefusalReason::OutOfTime);
+        return;
+    }
+    PlacementRequest request;
+    request.service = call.service;
+    request.tried = call.tried;
+    request.zone = m_parts.zone;
+    request.maxOwnRequests = connectionShare(call.service);
+    if (call.route->hasPrompt) {
+        request.affinityKey = programOf(call.incoming).value();
+    }
+    const ReplicaState *replica = call.dispatches < MaxDispatches
+        ? choosePlacement(m_parts.replicas, request, m_parts.clock.now())
+        : nullptr;
+    if (replica == nullptr) {
+        refuse(handle, CallRefusalReason::NoReplica);
+        return;
+    }
+    CallDispatch result;
+    result.handle = handle;
+    result.table = call.table;
+    result.route = call.route;
+    result.replica = replica->entry;
+    const auto service = call.table->services.find(call.service);
+    result.tokensPerEvent =
+        service == call.table->services.end() ? 0 : service->second.tokensPerEvent;
+    result.history = call.history;
+    result.deadline = call.deadline;
+    call.dispatches += 1;
+    call.tried.insert(replica->entry.id);
+    call.current = replica->entry.id;
+    m_parts.replicas.begin(replica->entry.id);
+    call.done(result);
+}
+
+void CallScheduler::refuse(CallHandle handle, CallRefusalReason reason)
+{
+    Call &call = m_calls[handle];
+    const auto done = std::move(call.done);
+    if (call.dispatches > 0) {
+        // The connection knows whether the call may have run; it closes the call.
+        call.done = done;
+        done(CallRefusal{reason, retryAfterOf(reason)});
+        return;
+    }
+    CallEnd end;
+    end.outcome = std::string(refusalReasonName(reason));
+    close(handle, end, [](bool) { });
+    done(CallRefusal{reason, retryAfterOf(reason)});
+}
+
+void CallScheduler::releaseReplica(Call &call, const ReplicaObservation &observation)
+{
+    if (!call.current.has_value()) {
+        return;
+    }
+    m_parts.replicas.end(*call.current, observation);
+    call.current.reset();
+}
+
+void CallScheduler::moveOn(CallHandle handle, const ReplicaObservation &observation,
+                           std::function<void(const CallDecision &)> done)
+{
+    Call &call = m_calls[handle];
+    releaseReplica(call, observation);
+    call.done = std::move(done);
+    dispatch(handle);
+}
+
+void CallScheduler::leaveReplica(CallHandle handle, const ReplicaObservation &observation)
+{
+    releaseReplica(m_calls[handle], observation);
+}
+
+void CallScheduler::close(CallHandle handle, const CallEnd &end, std::function<void(bool)> done)
+{
+    const auto found = m_calls.find(handle);
+    Call call = std::move(found->second);
+    m_calls.erase(found);
+    releaseReplica(call, ReplicaObservation());
+    logEnd(call, end);
+    const bool keeps = call.route != nullptr && call.route->keepsTurns && end.whole;
+    if (call.reserved) {
+        settle(call, end, keeps ? done : [](bool) { });
+    }
+    if (!keeps || !call.reserved) {
+        done(true);
+    }
+}
+
+void CallScheduler::settle(const Call &call, const CallEnd &end, std::function<void(bool)> done)
+{
+    TurnSettlement settlement;
+    settlement.program = programOf(call.incoming);
+    settlement.turn = call.incoming.attempt;
+    settlement.tokens = end.tokens;
+    const bool keeps = call.route->keepsTurns && end.whole;
+    if (keeps) {
+        std::string text = call.history == nullptr ? std::string() : *call.history;
+        text += call.incoming.input == nullptr ? std::string() : *call.incoming.input;
+        text += end.output;
+        settlement.conversation = std::make_shared<const std::string>(std::move(text));
+    }
+    const auto answered = std::make_shared<bool>(false);
+    const auto answerOnce = [answered, done = std::move(done)](bool recorded) {
+        if (!*answered) {
+            *answered = true;
+            done(recorded);
+        }
+    };
+    if (keeps) {
+        m_parts.timers.after(call.deadline - m_parts.clock.now(),
+                             [answerOnce] { answerOnce(false); });
+    }
+    m_parts.ledger.settle(settlement, [this, settlement, answerOnce] {
+        if (settlement.conversation != nullptr) {
+            m_parts.conversations.put(settlement.turn, settlement.conversation);
+        }
+        answerOnce(true);
+    });
+}
+
+void CallScheduler::logEnd(const Call &call, const CallEnd &end) const
+{
+    LogLine line("call");
+    line.add("request", call.incoming.attempt.value())
+        .add("program", call.incoming.program.value())
+        .add("outcome", end.outcome)
+        .add("status", static_cast<std::int64_t>(end.status))
+        .add("ms", millisOf(m_parts.clock.now() - call.openedAt));
+    if (call.route != nullptr) {
+        line.add("route", call.route->name)
+            .add("configuration", call.table->version.value())
+            .add("left_ms", millisOf(call.deadline - m_parts.clock.now()));
+    }
+    if (!call.tried.empty()) {
+        std::string tried;
+        for (const ReplicaId &id : call.tried) {
+            tried += (tried.empty() ? "" : ",") + id.value();
+        }
+        line.add("replicas", tried);
+    }
+    line.info();
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/control/program_ledger.cpp
@@ -0,0 +1,300 @@
+#include "control/program_ledger.h"
+
+#include <algorithm>
+
+namespace boragepath {
+
+namespace {
+
+constexpr Milliseconds FirstPause{15};
+constexpr Milliseconds LongestPause{600};
+constexpr int MaxPauseDoublings = 6;
+/** Records kept for programs without changes under way; each is about 200 bytes. */
+constexpr std::size_t MaxIdlePrograms = 2'000;
+/** Settlements that may wait for the store; beyond it no new turn is begun. */
+constexpr std::size_t MaxPending = 4'000;
+/** Changes in one transaction: a conversation may take several of the 100 entries allowed. */
+constexpr std::size_t MaxChangesAtOnce = 8;
+
+/** Applies a change that the row shows as not done yet; false if the budget forbids it. */
+bool applyReservation(ProgramRecord &record, const TurnClaim &claim)
+{
+    if (record.reserved.contains(claim.turn)) {
+        return true;
+    }
+    if (committedTokens(record) + claim.most > claim.budget) {
+        return false;
+    }
+    record.reserved[claim.turn] = claim.most;
+    return true;
+}
+
+} // namespace
+
+ProgramLedger::ProgramLedger(const Clock &clock, Timers &timers, RowStore &store,
+                             StoreHealth &health, std::uint64_t seed)
+    : m_clock(clock)
+    , m_timers(timers)
+    , m_store(store)
+    , m_health(health)
+    , m_random(seed)
+{ }
+
+void ProgramLedger::reserve(const TurnClaim &claim, SteadyTime deadline,
+                            std::function<void(Reservation)> done)
+{
+    if (m_health.away() || m_pending >= MaxPending) {
+        done(Reservation::StoreAway);
+        return;
+    }
+    Change change;
+    change.claim = claim;
+    change.deadline = deadline;
+    change.reserved = std::move(done);
+    Program &program = m_programs[claim.program];
+    if (!program.busy) {
+        // Other VMs may have changed the row since it was last seen.
+        program.fresh = false;
+    }
+    program.queue.push_back(std::move(change));
+    m_pending += 1;
+    pump(claim.program);
+}
+
+void ProgramLedger::settle(const TurnSettlement &settlement, std::function<void()> done)
+{
+    Change change;
+    change.settles = true;
+    change.settlement = settlement;
+    change.deadline = SteadyTime::max();
+    change.settled = std::move(done);
+    m_programs[settlement.program].queue.push_back(std::move(change));
+    m_pending += 1;
+    pump(settlement.program);
+}
+
+void ProgramLedger::pump(const ProgramId &id)
+{
+    Program &program = m_programs[id];
+    program.lastUse = m_clock.now();
+    if (program.busy) {
+        return;
+    }
+    // Busy while callbacks run, so that none of them can drop this program.
+    program.busy = true;
+    dropOverdue(program);
+    if (program.queue.empty()) {
+        program.busy = false;
+        forgetIdle();
+        return;
+    }
+    send(id, program);
+}
+
+void ProgramLedger::dropOverdue(Program &program)
+{
+    std::list<Change> overdue;
+    for (auto change = program.queue.begin(); change != program.queue.end();) {
+        const auto next = std::next(change);
+        if (m_clock.now() >= change->deadline) {
+            overdue.splice(overdue.end(), program.queue, change);
+        }
+        change = next;
+    }
+    for (Change &change : overdue) {
+        if (change.mayBeDone) {
+            // The reservation may be in the row, or get there late: give it back.
+            Change release;
+            release.settles = true;
+            release.settlement = {change.claim.program, change.claim.turn, 0, nullptr};
+            release.deadline = SteadyTime::max();
+            release.settled = [] { };
+            release.mayBeDone = false;
+            program.queue.push_back(std::move(release));
+            m_pending += 1;
+        }
+        finish(change, Reservation::StoreAway);
+    }
+}
+
+void ProgramLedger::finish(Change &change, Reservation reservation)
+{
+    m_pending -= 1;
+    if (change.settles) {
+        change.settled();
+    } else {
+        change.reserved(reservation);
+    }
+}
+
+void ProgramLedger::send(const ProgramId &id, Program &program)
+{
+    ProgramRecord record = program.record;
+    RowTransaction transaction;
+    std::list<Change> sent;
+    std::list<Change> done;
+    std::list<Change> refused;
+    while (!program.queue.empty() && sent.size() < MaxChangesAtOnce) {
+        Change &change = program.queue.front();
+        std::list<Change> *goesTo = &sent;
+        if (change.settles) {
+            const TurnSettlement &settlement = change.settlement;
+            if (change.mayBeDone && !record.reserved.contains(settlement.turn)) {
+                goesTo = &done;
+            } else {
+                record.spent += settlement.tokens;
+                record.reserved.erase(settlement.turn);
+                if (settlement.conversation != nullptr) {
+                    for (RowPut &row : conversationRows(partOfProgram(id), settlement.turn,
+                                                        *settlement.conversation)) {
+                        transaction.puts.push_back(std::move(row));
+                    }
+                }
+            }
+        } else if (program.known && program.record.reserved.contains(change.claim.turn)) {
+            goesTo = &done;
+        } else if (!applyReservation(record, change.claim)) {
+            if (!program.fresh) {
+                break;
+            }
+            goesTo = &refused;
+        }
+        goesTo->splice(goesTo->end(), program.queue, program.queue.begin());
+    }
+    const bool mustRead = sent.empty() && done.empty() && refused.empty();
+    for (Change &change : done) {
+        finish(change, Reservation::Granted);
+    }
+    for (Change &change : refused) {
+        finish(change, Reservation::BudgetSpent);
+    }
+    if (mustRead) {
+        readAgain(id);
+        return;
+    }
+    if (sent.empty()) {
+        program.busy = false;
+        pump(id);
+        return;
+    }
+    transaction.conditions.push_back({programRow(id), program.version});
+    transaction.puts.push_back({programRow(id), encodeProgramRecord(record)});
+    const auto shared = std::make_shared<std::list<Change>>(std::move(sent));
+    m_store.transact(std::move(transaction),
+                     [this, id, shared, record](const TransactionResult &result) {
+                         onTransaction(id, std::move(*shared), record, result);
+                     });
+}
+
+void ProgramLedger::onTransaction(const ProgramId &id, std::list<Change> sent,
+                                  const ProgramRecord &record, const TransactionResult &result)
+{
+    Program &program = m_programs[id];
+    if (result.answer == StoreAnswer::Done) {
+        program.record = record;
+        program.version = result.version;
+        program.known = true;
+        program.fresh = true;
+        program.failures = 0;
+        program.busy = false;
+        for (Change &change : sent) {
+            finish(change, Reservation::Granted);
+        }
+        pump(id);
+        return;
+    }
+    const bool unknown = result.answer == StoreAnswer::Unknown;
+    for (Change &change : sent) {
+        change.mayBeDone = change.mayBeDone || unknown;
+    }
+    program.queue.splice(program.queue.begin(), sent);
+    if (result.answer == StoreAnswer::Conflict) {
+        program.failures = 0;
+        adopt(program, result.current, id);
+        program.busy = false;
+        pump(id);
+        return;
+    }
+    pauseThenPump(id, unknown);
+}
+
+void ProgramLedger::adopt(Program &program, const std::vector<StoreRow> &rows, const ProgramId &id)
+{
+    program.known = true;
+    program.fresh = true;
+    program.record = {};
+    program.version = RowRevision(0);
+    const RowName name = programRow(id);
+    for (const StoreRow &row : rows) {
+        if (row.name == name && !row.removed) {
+            // A row that cannot be read is this product's own and cannot occur; its
+            // version still lets the next transaction replace it.
+            program.record = decodeProgramRecord(row.value).value_or(ProgramRecord());
+            program.version = row.version;
+        }
+    }
+}
+
+void ProgramLedger::pauseThenPump(const ProgramId &id, bool read)
+{
+    Program &program = m_programs[id];
+    const int doublings = std::min(program.failures, MaxPauseDoublings);
+    program.failures += 1;
+    const Duration most = std::min<Duration>(FirstPause * (1 << doublings), LongestPause);
+    std::uniform_int_distribution<Duration::rep> jitter(most.count() / 2, most.count());
+    m_timers.after(Duration(jitter(m_random)), [this, id, read] {
+        if (read) {
+            readAgain(id);
+            return;
+        }
+        m_programs[id].busy = false;
+        pump(id);
+    });
+}
+
+void ProgramLedger::readAgain(const ProgramId &id)
+{
+    const RowName name = programRow(id);
+    // Keys hold no blanks, so only this one lies between it and itself with a blank behind.
+    const RowRange range{name.table, name.part, name.key, name.key + " "};
+    m_store.read(range, [this, id](const ReadResult &result) { onRead(id, result); });
+}
+
+void ProgramLedger::onRead(const ProgramId &id, const ReadResult &result)
+{
+    Program &program = m_programs[id];
+    if (result.answer == StoreAnswer::Done) {
+        program.failures = 0;
+        adopt(program, result.rows, id);
+        program.busy = false;
+        pump(id);
+        return;
+    }
+    // Whoever waits past its time is answered now, not when the store is back.
+    dropOverdue(program);
+    if (program.queue.empty()) {
+        program.busy = false;
+        program.known = false;
+        return;
+    }
+    pauseThenPump(id, true);
+}
+
+void ProgramLedger::forgetIdle()
+{
+    if (m_programs.size() <= MaxIdlePrograms) {
+        return;
+    }
+    auto oldest = m_programs.end();
+    for (auto item = m_programs.begin(); item != m_programs.end(); ++item) {
+        const bool idle = !item->second.busy && item->second.queue.empty();
+        if (idle && (oldest == m_programs.end() || item->second.lastUse < oldest->second.lastUse)) {
+            oldest = item;
+        }
+    }
+    if (oldest != m_programs.end()) {
+        m_programs.erase(oldest);
+    }
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/control/program_ledger.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "control/program_record.h"
+#include "control/row_store.h"
+#include "control/store_health.h"
+#include "core/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <random>
+
+namespace boragepath {
+
+enum class Reservation {
+    Granted,
+    BudgetSpent, ///< The store has confirmed that the budget does not cover the turn.
+    StoreAway, ///< Not known in time; nothing of it counts once the store is back.
+};
+
+/** One turn's claim on the budget of its program. */
+struct TurnClaim
+{
+    ProgramId program;
+    AttemptId turn;
+    /** Tokens that all turns of the program may hand out. */
+    std::int64_t budget = 0;
+    /** The most that this turn hands out. */
+    std::int64_t most = 0;
+};
+
+/** What one turn handed out, and what is to be kept of it. */
+struct TurnSettlement
+{
+    ProgramId program;
+    AttemptId turn;
+    std::int64_t tokens = 0;
+    /** The conversation that ends with this turn; null if it isn't kept. */
+    Conversation conversation;
+};
+
+/**
+ * Keeps the token budgets of programs in the store, whichever VM serves a turn.
+ *
+ * There is no owner: each change is one transaction on the program's row,
+ * conditional on the version that it was computed from. A turn reserves the
+ * most that it may hand out before it runs, and settles what it did hand out
+ * together with its conversation. Changes that fall due while one is under way
+ * go into the next transaction. After a call without an answer the row itself
+ * tells whether the change took effect; a late effect of the same change fails
+ * on the version.
+ */
+class ProgramLedger
+{
+public:
+    ProgramLedger(const Clock &clock, Timers &timers, RowStore &store, StoreHealth &health,
+                  std::uint64_t seed);
+
+    void reserve(const TurnClaim &claim, SteadyTime deadline,
+                 std::function<void(Reservation)> done);
+    /** @p done comes once the settlement is in the store, which it is tried until. */
+    void settle(const TurnSettlement &settlement, std::function<void()> done);
+
+    /** Changes that wait for the store. */
+    std::size_t pending() const { return m_pending; }
+
+private:
+    struct Change
+    {
+        TurnClaim claim;
+        bool settles = false;
+        TurnSettlement settlement;
+        SteadyTime deadline;
+        /** A transaction with it went unanswered. */
+        bool mayBeDone = false;
+        std::function<void(Reservation)> reserved;
+        std::function<void()> settled;
+    };
+    struct Program
+    {
+        ProgramRecord record;
+        RowRevision version;
+        /** The record was read from the store, or written there, by this VM. */
+        bool known = false;
+        /** No change by another VM can have been missed since the reading. */
+        bool fresh = false;
+        bool busy = false;
+        int failures = 0;
+        std::list<Change> queue;
+        SteadyTime lastUse;
+    };
+
+    void pump(const ProgramId &id);
+    void dropOverdue(Program &program);
+    void send(const ProgramId &id, Program &program);
+    void onTransaction(const ProgramId &id, std::list<Change> sent, const ProgramRecord &record,
+                       const TransactionResult &result);
+    void readAgain(const ProgramId &id);
+    void onRead(const ProgramId &id, const ReadResult &result);
+    void adopt(Program &program, const std::vector<StoreRow> &rows, const ProgramId &id);
+    void pauseThenPump(const ProgramId &id, bool read);
+    void finish(Change &change, Reservation reservation);
+    void forgetIdle();
+
+    const Clock &m_clock;
+    Timers &m_timers;
+    RowStore &m_store;
+    StoreHealth &m_health;
+    std::mt19937_64 m_random;
+    std::map<ProgramId, Program> m_programs;
+    std::size_t m_pending = 0;
+};
+
+} // namespace boragepath
--- /dev/null
+++ b/control/replica_table.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/settings.h"
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace boragepath {
+
+/** A backend server as it registered itself. */
+struct ReplicaEntry
+{
+    ReplicaId id;
+    PoolName service;
+    Endpoint endpoint;
+    ZoneId zone;
+    /** Requests that it runs at once. */
+    std::int64_t slots = 1;
+    /** It takes no new work. */
+    bool draining = false;
+    /** Calendar time of its start; tells incarnations under one id apart. */
+    std::int64_t startedAtMillis = 0;
+};
+
+/** What one answer told of its replica's load. */
+struct ReportedLoad
+{
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    std::int64_t slots = 0;
+};
+
+/** What one request to a replica showed. */
+struct ReplicaObservation
+{
+    enum class Outcome {
+        Served, ///< It answered, whatever the status.
+        Declined, ///< It said that it did not run the request.
+        Unreachable, ///< No connection could be made.
+        Failed, ///< It broke off, answered nonsense or fell silent.
+    };
+    Outcome outcome = Outcome::Served;
+    /** The replica runs under another id now. */
+    bool otherReplica = false;
+    std::optional<ReportedLoad> load;
+    /** Time to the first event or to the answer. */
+    std::optional<Duration> latency;
+    /** Mean pause between two events of a stream. */
+    std::optional<Duration> eventPause;
+};
+
+/** What this VM believes of one replica. */
+struct ReplicaState
+{
+    ReplicaEntry entry;
+    /** Requests of this VM that are under way there. */
+    std::int64_t ownRequests = 0;
+    ReportedLoad load;
+    SteadyTime loadAt;
+    /** Smoothed time to the first event or answer, and between events; zero if unknown. */
+    Duration latency{0};
+    Duration eventPause{0};
+    SteadyTime measuredAt;
+    /** Failures in a row, and until when they keep it out. */
+    int failures = 0;
+    SteadyTime avoidedUntil;
+    /** Missing from the registry since a reading that cannot be trusted yet. */
+    std::optional<SteadyTime> missingSince;
+};
+
+/** What a request asks of its replica. */
+struct PlacementRequest
+{
+    PoolName service;
+    /** Requests with the same key are best served by the same replica; empty if that is idle. */
+    std::string affinityKey;
+    /** Replicas already tried. */
+    std::set<ReplicaId> tried;
+    ZoneId zone;
+    /** Requests that this VM may have under way at one replica. */
+    std::int64_t maxOwnRequests = std::numeric_limits<std::int64_t>::max();
+};
+
+/**
+ * The backend servers in force and what answers have shown of them.
+ *
+ * A row may vanish because the registry was away, not because the replica is
+ * gone: after an outage a missing replica is kept for the settling time.
+ */
+class ReplicaTable
+{
+public:
+    explicit ReplicaTable(const Clock &clock);
+
+    /** Takes over a whole reading; @p settling if the registry has just come back. */
+    void replaceAll(const std::vector<ReplicaEntry> &entries, bool settling);
+    /** Takes over one changed row. */
+    void put(const ReplicaEntry &entry);
+    void remove(const ReplicaId &id, bool settling);
+    /** Drops replicas whose settling time is over; gives their ids. */
+    std::vector<ReplicaId> expireMissing();
+
+    void begin(const ReplicaId &id);
+    void end(const ReplicaId &id, const ReplicaObservation &observation);
+
+    const ReplicaState *find(const ReplicaId &id) const;
+    const std::map<ReplicaId, ReplicaState> &all() const { return m_replicas; }
+    /** Replicas of a service that may get work. */
+    std::vector<const ReplicaState *> usable(const PoolName &service) const;
+
+private:
+    const Clock &m_clock;
+    std::map<ReplicaId, ReplicaState> m_replicas;
+};
+
+/** The replica for a request, or null if none can take it. */
+const ReplicaState *choosePlacement(const ReplicaTable &table, const PlacementRequest &request,
+                                    SteadyTime now);
+
+} // namespace boragepath
--- /dev/null
+++ b/control/route_table.cpp
@@ -0,0 +1,41 @@
+#include "control/route_table.h"
+
+#include "core/hash.h"
+
+#include <absl/strings/match.h>
+
+namespace boragepath {
+
+const RoutePolicy *matchRoute(const RouteTable &table, std::string_view host, std::string_view path)
+{
+    const RoutePolicy *best = nullptr;
+    for (const RoutePolicy &route : table.routes) {
+        const bool matches = absl::EqualsIgnoreCase(route.host, std::string(host))
+            && path.substr(0, route.prefix.size()) == route.prefix;
+        if (matches && (best == nullptr || route.prefix.size() > best->prefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const PoolName &serviceFor(const RoutePolicy &route, std::string_view key)
+{
+    std::int64_t total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += share.weight;
+    }
+    if (route.services.size() == 1 || total <= 0) {
+        return route.services.front().service;
+    }
+    auto point = static_cast<std::int64_t>(hashOf(key) % static_cast<std::uint64_t>(total));
+    for (const ServiceShare &share : route.services) {
+        if (point < share.weight) {
+            return share.service;
+        }
+        point -= share.weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/control/store_health.cpp
@@ -0,0 +1,42 @@
+#include "control/store_health.h"
+
+namespace boragepath {
+
+namespace {
+
+/** Single failures happen while the store is well, by a lost packet for example. */
+constexpr int FailuresUntilAway = 3;
+
+} // namespace
+
+StoreHealth::StoreHealth(const Clock &clock)
+    : m_clock(clock)
+{ }
+
+bool StoreHealth::noteAnswer()
+{
+    m_failuresInRow = 0;
+    if (!m_away) {
+        return false;
+    }
+    m_away = false;
+    m_returnedAt = m_clock.now();
+    return true;
+}
+
+bool StoreHealth::noteFailure()
+{
+    m_failuresInRow += 1;
+    if (m_away || m_failuresInRow < FailuresUntilAway) {
+        return false;
+    }
+    m_away = true;
+    return true;
+}
+
+bool StoreHealth::returnedWithin(Duration span) const
+{
+    return m_returnedAt != SteadyTime() && m_clock.now() < m_returnedAt + span;
+}
+
+} // namespace boragepath
--- /dev/null
+++ b/control/vm_directory.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/settings.h"
+#include "peers/gen/messages_types.h"
+
+#include <map>
+#include <random>
+#include <vector>
+
+namespace boragepath {
+
+/** A VM that callers may connect to, as the others know it. */
+struct VmEntry
+{
+    VmId vm;
+    Endpoint front;
+    Endpoint peers;
+    ZoneId zone;
+    /** Calendar time of the process's start in milliseconds. */
+    std::int64_t incarnation = 0;
+    bool leaving = false;
+    /** When this incarnation itself was last heard of, directly or through others. */
+    SteadyTime lastHeard;
+};
+
+/**
+ * Which VMs live, as their datagrams tell.
+ *
+ * Each VM tells a few others, drawn at random, what it knows of all; so the
+ * number of datagrams grows with the VMs, not with their square. A VM that has
+ * not been heard of for the silence limit isn't handed out to callers. What is
+ * believed here costs speed if it is wrong, never truth.
+ */
+class VmDirectory
+{
+public:
+    VmDirectory(const Clock &clock, VmEntry self, std::uint64_t seed);
+
+    /** Learns of a VM from the store; it counts as silent until it is heard of. */
+    void learn(const VmEntry &entry);
+    void hear(const peers::VmNews &news);
+    void leave() { m_self.leaving = true; }
+
+    /** What this VM knows, for one datagram. */
+    std::vector<peers::VmNews> news() const;
+    /** Whom to tell now. */
+    std::vector<Endpoint> receivers();
+
+    /** VMs for callers in @p zone: those of the zone if several live, else all that live. */
+    std::vector<Endpoint> addressesFor(const ZoneId &zone) const;
+    /** VMs that live, this one included. */
+    std::size_t liveCount() const;
+    const VmEntry &self() const { return m_self; }
+
+private:
+    bool lives(const VmEntry &entry) const;
+
+    const Clock &m_clock;
+    VmEntry m_self;
+    std::mt19937_64 m_random;
+    std::map<VmId, VmEntry> m_others;
+};
+
+} // namespace boragepath
--- a/core/ids.h
+++ b/core/ids.h
@@ -34,6 +34,11 @@
 /** One request for a permit; unique within one incarnation of the asking VM. */
 using PermitId = Strong<std::uint64_t, struct PermitIdTag>;
 
+/** One attempt of a caller to have a request served; a kept turn is named by it. */
+using AttemptId = Strong<std::string, struct AttemptIdTag>;
+/** Version of the operator's configuration; grows in uneven steps. */
+using ConfigurationVersion = Strong<std::int64_t, struct ConfigurationVersionTag>;
+
 /** A program's full name: ids are scoped to the entry, so customers cannot collide. */
 struct ProgramKey
 {
--- a/core/json_access.cpp
+++ b/core/json_access.cpp
@@ -19,6 +19,15 @@
     return value != nullptr && value->is_int64() ? value->get_int64() : 0;
 }
 
+double numberAt(const json::object &object, const char *field)
+{
+    const json::value *value = object.if_contains(field);
+    if (value == nullptr || !value->is_number()) {
+        return 0;
+    }
+    return value->to_number<double>();
+}
+
 bool flagAt(const json::object &object, const char *field)
 {
     const json::value *value = object.if_contains(field);
--- a/core/json_access.h
+++ b/core/json_access.h
@@ -12,6 +12,8 @@
 std::string stringAt(const boost::json::object &object, const char *field);
 /** A field's whole number; 0 if it is absent or none. */
 std::int64_t integerAt(const boost::json::object &object, const char *field);
+/** A field's number, whole or not; 0 if it is absent or none. */
+double numberAt(const boost::json::object &object, const char *field);
 /** A field that is true; false if it is absent or anything else. */
 bool flagAt(const boost::json::object &object, const char *field);
 /** A field's object; null if it is absent or none. */
--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -2,9 +2,7 @@
 
 #include "core/object_reader.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <boost/asio/ip/address.hpp>
 
 #include <fstream>
 #include <set>
@@ -124,31 +122,6 @@
 
 } // namespace
 
-std::string Endpoint::text() const
-{
-    return absl::StrCat(address, ":", port);
-}
-
-absl::StatusOr<Endpoint> parseEndpoint(const std::string &text)
-{
-    const absl::Status wrong = absl::InvalidArgumentError(
-        absl::StrCat("\"", text, "\" must be an IP address in numbers, a colon and a port"));
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return wrong;
-    }
-    std::uint32_t port = 0;
-    if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 || port > 65'535) {
-        return wrong;
-    }
-    boost::system::error_code error;
-    boost::asio::ip::make_address(text.substr(0, colon), error);
-    if (error) {
-        return wrong;
-    }
-    return Endpoint{text.substr(0, colon), static_cast<std::uint16_t>(port)};
-}
-
 const std::vector<std::string> &policyNames()
 {
     static const std::vector<std::string> names = {"round-robin", "least-load", "prefix-fifo",
--- a/core/settings.h
+++ b/core/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/endpoint.h"
 #include "core/ids.h"
 
 #include <absl/status/status.h>
@@ -12,21 +13,6 @@
 
 namespace boragepath {
 
-/** An IP address and port. */
-struct Endpoint
-{
-    std::string address;
-    std::uint16_t port = 0;
-
-    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
-
-    /** "address:port". */
-    std::string text() const;
-};
-
-/** Parses "address:port" with an address in numbers. */
-absl::StatusOr<Endpoint> parseEndpoint(const std::string &text);
-
 /** How calls are placed and ordered; the first three are baselines to compare with. */
 enum class PolicyKind {
     RoundRobin, ///< Replicas in turn, no queue of ours.
--- /dev/null
+++ b/main/platform_daemon.cpp
@@ -0,0 +1,353 @@
+#include "main/platform_daemon.h"
+
+#include "core/json_access.h"
+#include "core/logging.h"
+#include "core/metrics.h"
+#include "net/control_call.h"
+#include "platform/call_codec.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+#include <thread>
+
+namespace boragepath {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char *VmTable = "vms";
+constexpr Milliseconds NewsInterval{400};
+constexpr Milliseconds VmReadInterval{10'000};
+constexpr Milliseconds StoreRetryPause{500};
+constexpr Milliseconds StaleLinkInterval{2'000};
+constexpr Milliseconds StopCheckInterval{50};
+/** Callers use an address for three times its time to live after it was withdrawn. */
+constexpr Milliseconds ShortestStop{3'600};
+/** Before the platform kills the process. */
+constexpr Milliseconds StopMargin{900};
+/** The cache of conversations may take this part of the VM's memory. */
+constexpr std::int64_t ConversationMemoryPart = 16;
+constexpr std::int64_t BytesPerMegabyte = 1024 * 1024;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned NotFound = 404;
+
+VmEntry selfEntry(const platform::NodeSettings &settings, const Clock &clock)
+{
+    VmEntry entry;
+    entry.vm = settings.vm;
+    entry.front = settings.front;
+    entry.peers = settings.peers;
+    entry.zone = settings.zone;
+    entry.incarnation = unixMillis(clock.wallNow());
+    return entry;
+}
+
+std::string encodeVm(const VmEntry &entry)
+{
+    return json::serialize(json::object{{"front", entry.front.text()},
+                                        {"peers", entry.peers.text()},
+                                        {"zone", entry.zone.value()},
+                                        {"incarnation", entry.incarnation}});
+}
+
+std::optional<VmEntry> decodeVm(const StoreRow &row)
+{
+    json::error_code error;
+    const json::value value = json::parse(row.value, error);
+    if (error || !value.is_object()) {
+        return std::nullopt;
+    }
+    const json::object &object = value.get_object();
+    const auto front = parseEndpoint(stringAt(object, "front"));
+    const auto peers = parseEndpoint(stringAt(object, "peers"));
+    if (!front.ok() || !peers.ok()) {
+        return std::nullopt;
+    }
+    VmEntry entry;
+    entry.vm = VmId(row.name.key);
+    entry.front = *front;
+    entry.peers = *peers;
+    entry.zone = ZoneId(stringAt(object, "zone"));
+    entry.incarnation = integerAt(object, "incarnation");
+    return entry;
+}
+
+std::size_t conversationBytes(const platform::NodeSettings &settings)
+{
+    return static_cast<std::size_t>(settings.memoryMegabytes * BytesPerMegabyte
+                                    / ConversationMemoryPart);
+}
+
+HttpLimits smallLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections = 500;
+    limits.idleLimit = Milliseconds(20'000);
+    return limits;
+}
+
+} // namespace
+
+void AsioTimers::after(Duration delay, std::function<void()> task)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+    timer->async_wait([timer, task = std::move(task)](const boost::system::error_code &error) {
+        if (!error) {
+            task();
+        }
+    });
+}
+
+PlatformDaemon::PlatformDaemon(platform::NodeSettings settings,
+                               std::optional<std::uint16_t> metricsPort, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_trafficWork(m_traffic.get_executor())
+    , m_signals(m_control, SIGTERM, SIGINT, SIGHUP)
+    , m_timers(m_control)
+    , m_trafficTimers(m_traffic)
+    , m_health(m_clock)
+    , m_store(m_control, m_settings.store, m_health)
+    , m_replicas(m_clock)
+    , m_ledger(m_clock, m_timers, m_store, m_health, seed)
+    , m_conversations(m_clock, m_timers, m_store, m_health, conversationBytes(m_settings))
+    , m_vms(m_clock, selfEntry(m_settings, m_clock), seed)
+    , m_scheduler({m_clock, m_timers, m_replicas, m_ledger, m_conversations, m_vms, m_settings.zone})
+    , m_registry(
+          m_clock, m_timers, m_store, m_health, m_replicas,
+          [this](std::shared_ptr<const RouteTable> table) { useRoutes(std::move(table)); }, seed)
+    , m_peers(m_control, m_settings.peers, m_settings.store.text(),
+              [this](const peers::Envelope &envelope) { hear(envelope); })
+    , m_links(m_traffic.get_executor(), m_clock)
+    , m_forwarder(m_control, m_scheduler, m_links, m_clock, m_counters)
+    , m_front(m_traffic, m_settings.front, m_forwarder)
+    , m_directoryServer(m_traffic, smallLimits(),
+                        [this](const HttpRequest &request, HttpResponder &responder) {
+                            return resolve(request, responder);
+                        })
+    , m_readyServer(m_traffic, smallLimits(),
+                    [this](const HttpRequest &request, HttpResponder &responder) {
+                        return answerReady(request, responder);
+                    })
+{
+    m_directoryServer.listen(m_settings.directory);
+    m_readyServer.listen(m_settings.ready);
+    if (metricsPort.has_value()) {
+        m_metricsServer.emplace(m_traffic, smallLimits(),
+                                [this](const HttpRequest &request, HttpResponder &responder) {
+                                    return answerMetrics(request, responder);
+                                });
+        m_metricsServer->listen({m_settings.front.address, *metricsPort});
+    }
+}
+
+void PlatformDaemon::run()
+{
+    waitForSignal();
+    m_registry.start();
+    registerSelf();
+    readVms();
+    tellOthers();
+    closeStaleLinks();
+    std::thread traffic([this] { m_traffic.run(); });
+    m_control.run();
+    m_trafficWork.reset();
+    m_traffic.stop();
+    traffic.join();
+}
+
+void PlatformDaemon::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else if (!m_stopBegan.has_value()) {
+            beginStop();
+        }
+        waitForSignal();
+    });
+}
+
+void PlatformDaemon::reload()
+{
+    const auto settings = platform::loadNodeSettings();
+    if (!settings.ok()) {
+        LogLine("reload")
+            .add("outcome", "kept the old settings")
+            .add("cause", std::string(settings.status().message()))
+            .error();
+        return;
+    }
+    // Addresses hold for the life of a process; the rest is taken over.
+    m_settings.stopGrace = settings->stopGrace;
+    LogLine("reload").add("outcome", "taken").info();
+}
+
+void PlatformDaemon::beginStop()
+{
+    LogLine("stopping").add("calls", static_cast<std::int64_t>(m_scheduler.openCalls())).info();
+    m_stopBegan = m_clock.now();
+    m_ready = false;
+    m_vms.leave();
+    m_front.drain();
+    for (const Endpoint &to : m_vms.receivers()) {
+        sendNews(to, false);
+    }
+    m_store.transact({{}, {}, {ownRow()}}, [](const TransactionResult &) { });
+    finishStop();
+}
+
+void PlatformDaemon::finishStop()
+{
+    const Duration since = m_clock.now() - *m_stopBegan;
+    const bool idle = m_front.requestsUnderWay() == 0 && m_ledger.pending() == 0;
+    if ((idle && since >= ShortestStop) || since >= m_settings.stopGrace - StopMargin) {
+        LogLine("stopped")
+            .add("calls", m_front.requestsUnderWay())
+            .add("pending", static_cast<std::int64_t>(m_ledger.pending()))
+            .info();
+        m_control.stop();
+        return;
+    }
+    m_timers.after(StopCheckInterval, [this] { finishStop(); });
+}
+
+void PlatformDaemon::useRoutes(std::shared_ptr<const RouteTable> table)
+{
+    const std::int64_t before =
+        m_scheduler.routes() == nullptr ? 0 : m_scheduler.routes()->version.value();
+    if (!m_scheduler.useRoutes(table)) {
+        return;
+    }
+    LogLine("configuration")
+        .add("version", table->version.value())
+        .add("before", before)
+        .add("outcome", "in force")
+        .info();
+    m_ready = !m_stopBegan.has_value();
+    asio::post(m_traffic, [this, limits = table->limits] { m_front.useLimits(limits); });
+}
+
+RowName PlatformDaemon::ownRow() const
+{
+    return {VmTable, "", m_settings.vm.value()};
+}
+
+void PlatformDaemon::registerSelf()
+{
+    m_store.transact({{}, {{ownRow(), encodeVm(m_vms.self())}}, {}},
+                     [this](const TransactionResult &result) {
+                         if (result.answer != StoreAnswer::Done) {
+                             m_timers.after(StoreRetryPause, [this] { registerSelf(); });
+                         }
+                     });
+}
+
+void PlatformDaemon::readVms()
+{
+    m_store.read({VmTable, "", "", ""}, [this](const ReadResult &result) {
+        const bool done = result.answer == StoreAnswer::Done;
+        for (const StoreRow &row : result.rows) {
+            const auto entry = decodeVm(row);
+            if (entry.has_value() && entry->vm != m_settings.vm) {
+                m_vms.learn(*entry);
+                sendNews(entry->peers, true);
+            }
+        }
+        m_timers.after(done ? VmReadInterval : StoreRetryPause, [this] { readVms(); });
+    });
+}
+
+void PlatformDaemon::tellOthers()
+{
+    for (const Endpoint &to : m_vms.receivers()) {
+        sendNews(to, false);
+    }
+    m_timers.after(NewsInterval, [this] { tellOthers(); });
+}
+
+void PlatformDaemon::sendNews(const Endpoint &to, bool wantsNews)
+{
+    peers::Envelope envelope;
+    envelope.vm = m_settings.vm.value();
+    envelope.__set_vmNews(m_vms.news());
+    envelope.__set_wantsNews(wantsNews);
+    m_peers.send(to, envelope);
+}
+
+void PlatformDaemon::hear(const peers::Envelope &envelope)
+{
+    for (const peers::VmNews &news : envelope.vmNews) {
+        m_vms.hear(news);
+        if (envelope.wantsNews && news.vm == envelope.vm) {
+            const auto sender = parseEndpoint(news.peers);
+            if (sender.ok()) {
+                sendNews(*sender, false);
+            }
+        }
+    }
+}
+
+void PlatformDaemon::closeStaleLinks()
+{
+    m_trafficTimers.after(StaleLinkInterval, [this] {
+        m_links.closeStale();
+        closeStaleLinks();
+    });
+}
+
+asio::awaitable<void> PlatformDaemon::resolve(const HttpRequest &request, HttpResponder &responder)
+{
+    if (request.path() != platform::ResolvePath) {
+        HttpResponse unknown;
+        unknown.status = NotFound;
+        co_await responder.send(unknown);
+        co_return;
+    }
+    const ZoneId zone(request.query(platform::ZoneParameter));
+    std::function<void(std::function<void(const HttpResponse &)>)> ask =
+        [this, zone](const std::function<void(const HttpResponse &)> &done) {
+            done(platform::addressesAnswer(m_vms.addressesFor(zone)));
+        };
+    const HttpResponse response = co_await askControl<HttpResponse>(m_control, std::move(ask));
+    co_await responder.send(response);
+}
+
+asio::awaitable<void> PlatformDaemon::answerReady(const HttpRequest &request,
+                                                  HttpResponder &responder)
+{
+    HttpResponse response;
+    if (request.path() != platform::ReadyPath) {
+        response.status = NotFound;
+    } else if (!m_ready) {
+        response.status = Unavailable;
+    }
+    co_await responder.send(response);
+}
+
+asio::awaitable<void> PlatformDaemon::answerMetrics(const HttpRequest &request,
+                                                    HttpResponder &responder)
+{
+    HttpResponse response;
+    if (request.path() != "/metrics") {
+        response.status = NotFound;
+        co_await responder.send(response);
+        co_return;
+    }
+    response.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    response.body = absl::StrCat(
+        counterText("boragepath_calls_served_total", m_counters.served),
+        counterText("boragepath_calls_refused_total", m_counters.refused),
+        counterText("boragepath_calls_failed_total", m_counters.failed),
+        counterText("boragepath_callers_gone_total", m_counters.callerGone),
+        counterText("boragepath_replica_connections_total", m_counters.replicaConnections),
+        gaugeText("boragepath_calls_under_way", static_cast<double>(m_front.requestsUnderWay())));
+    co_await responder.send(response);
+}
+
+} // namespace boragepath
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -70,6 +70,16 @@
     co_return true;
 }
 
+/** False if the server has closed an idle connection, or sent what nobody asked for. */
+bool staysSilent(tcp::socket &socket)
+{
+    char byte = 0;
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 template <typename Stream>
 asio::awaitable<void> exchange(Stream &stream, const http::request<http::string_body> &message,
                                Milliseconds timeout, HttpResult &result)
@@ -237,14 +247,17 @@
     const std::shared_ptr<Connections> connections = m_idle;
     const auto message = makeMessage(m_endpoint, request, true);
     std::unique_ptr<beast::tcp_stream> stream;
-    if (connections->idle.empty()) {
+    while (stream == nullptr && !connections->idle.empty()) {
+        if (staysSilent(connections->idle.back()->socket())) {
+            stream = std::move(connections->idle.back());
+        }
+        connections->idle.pop_back();
+    }
+    if (stream == nullptr) {
         stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
         if (!co_await connectStream(*stream, m_endpoint, timeout, result)) {
             co_return result;
         }
-    } else {
-        stream = std::move(connections->idle.back());
-        connections->idle.pop_back();
     }
     co_await exchange(*stream, message, timeout, result);
     const bool reusable = result.complete && result.response.valueOf("Connection") != "close";
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -1385,6 +1385,218 @@
 }
 
 
+VmNews::~VmNews() noexcept {
+}
+
+
+void VmNews::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void VmNews::__set_front(const std::string& val) {
+  this->front = val;
+}
+
+void VmNews::__set_peers(const std::string& val) {
+  this->peers = val;
+}
+
+void VmNews::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void VmNews::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void VmNews::__set_ageMillis(const int32_t val) {
+  this->ageMillis = val;
+}
+
+void VmNews::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const VmNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VmNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->front);
+          this->__isset.front = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peers);
+          this->__isset.peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VmNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VmNews");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("front", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->front);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->peers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VmNews &a, VmNews &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.front, b.front);
+  swap(a.peers, b.peers);
+  swap(a.zone, b.zone);
+  swap(a.incarnation, b.incarnation);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+VmNews::VmNews(const VmNews& other35) {
+  vm = other35.vm;
+  front = other35.front;
+  peers = other35.peers;
+  zone = other35.zone;
+  incarnation = other35.incarnation;
+  ageMillis = other35.ageMillis;
+  leaving = other35.leaving;
+  __isset = other35.__isset;
+}
+VmNews& VmNews::operator=(const VmNews& other36) {
+  vm = other36.vm;
+  front = other36.front;
+  peers = other36.peers;
+  zone = other36.zone;
+  incarnation = other36.incarnation;
+  ageMillis = other36.ageMillis;
+  leaving = other36.leaving;
+  __isset = other36.__isset;
+  return *this;
+}
+void VmNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VmNews(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "front=" << to_string(front);
+  out << ", " << "peers=" << to_string(peers);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -1426,6 +1638,16 @@
   this->heldPrograms = val;
 __isset.heldPrograms = true;
 }
+
+void Envelope::__set_vmNews(const std::vector<VmNews> & val) {
+  this->vmNews = val;
+__isset.vmNews = true;
+}
+
+void Envelope::__set_wantsNews(const bool val) {
+  this->wantsNews = val;
+__isset.wantsNews = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -1482,14 +1704,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->permitRequests.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->permitRequests.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->permitRequests[_i39].read(iprot);
+              xfer += this->permitRequests[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1502,14 +1724,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitAnswers.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->permitAnswers.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->permitAnswers.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->permitAnswers[_i44].read(iprot);
+              xfer += this->permitAnswers[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1522,14 +1744,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReleases.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->permitReleases.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->permitReleases.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->permitReleases[_i49].read(iprot);
+              xfer += this->permitReleases[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1542,14 +1764,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitsReleased.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->permitsReleased.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->permitsReleased.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->permitsReleased[_i54].read(iprot);
+              xfer += this->permitsReleased[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1566,6 +1788,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->vmNews.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->vmNews.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += this->vmNews[_i61].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.vmNews = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsNews);
+          this->__isset.wantsNews = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1600,10 +1850,10 @@
     xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-      std::vector<PermitRequest> ::const_iterator _iter55;
-      for (_iter55 = this->permitRequests.begin(); _iter55 != this->permitRequests.end(); ++_iter55)
+      std::vector<PermitRequest> ::const_iterator _iter62;
+      for (_iter62 = this->permitRequests.begin(); _iter62 != this->permitRequests.end(); ++_iter62)
       {
-        xfer += (*_iter55).write(oprot);
+        xfer += (*_iter62).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1613,10 +1863,10 @@
     xfer += oprot->writeFieldBegin("permitAnswers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitAnswers.size()));
-      std::vector<PermitAnswer> ::const_iterator _iter56;
-      for (_iter56 = this->permitAnswers.begin(); _iter56 != this->permitAnswers.end(); ++_iter56)
+      std::vector<PermitAnswer> ::const_iterator _iter63;
+      for (_iter63 = this->permitAnswers.begin(); _iter63 != this->permitAnswers.end(); ++_iter63)
       {
-        xfer += (*_iter56).write(oprot);
+        xfer += (*_iter63).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1626,10 +1876,10 @@
     xfer += oprot->writeFieldBegin("permitReleases", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReleases.size()));
-      std::vector<PermitRelease> ::const_iterator _iter57;
-      for (_iter57 = this->permitReleases.begin(); _iter57 != this->permitReleases.end(); ++_iter57)
+      std::vector<PermitRelease> ::const_iterator _iter64;
+      for (_iter64 = this->permitReleases.begin(); _iter64 != this->permitReleases.end(); ++_iter64)
       {
-        xfer += (*_iter57).write(oprot);
+        xfer += (*_iter64).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1639,10 +1889,10 @@
     xfer += oprot->writeFieldBegin("permitsReleased", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitsReleased.size()));
-      std::vector<PermitReleased> ::const_iterator _iter58;
-      for (_iter58 = this->permitsReleased.begin(); _iter58 != this->permitsReleased.end(); ++_iter58)
+      std::vector<PermitReleased> ::const_iterator _iter65;
+      for (_iter65 = this->permitsReleased.begin(); _iter65 != this->permitsReleased.end(); ++_iter65)
       {
-        xfer += (*_iter58).write(oprot);
+        xfer += (*_iter65).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1653,6 +1903,24 @@
     xfer += this->heldPrograms.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.vmNews) {
+    xfer += oprot->writeFieldBegin("vmNews", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmNews.size()));
+      std::vector<VmNews> ::const_iterator _iter66;
+      for (_iter66 = this->vmNews.begin(); _iter66 != this->vmNews.end(); ++_iter66)
+      {
+        xfer += (*_iter66).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wantsNews) {
+    xfer += oprot->writeFieldBegin("wantsNews", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->wantsNews);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1668,30 +1936,36 @@
   swap(a.permitReleases, b.permitReleases);
   swap(a.permitsReleased, b.permitsReleased);
   swap(a.heldPrograms, b.heldPrograms);
+  swap(a.vmNews, b.vmNews);
+  swap(a.wantsNews, b.wantsNews);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other59) {
-  vm = other59.vm;
-  fence = other59.fence;
-  probe = other59.probe;
-  permitRequests = other59.permitRequests;
-  permitAnswers = other59.permitAnswers;
-  permitReleases = other59.permitReleases;
-  permitsReleased = other59.permitsReleased;
-  heldPrograms = other59.heldPrograms;
-  __isset = other59.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other60) {
-  vm = other60.vm;
-  fence = other60.fence;
-  probe = other60.probe;
-  permitRequests = other60.permitRequests;
-  permitAnswers = other60.permitAnswers;
-  permitReleases = other60.permitReleases;
-  permitsReleased = other60.permitsReleased;
-  heldPrograms = other60.heldPrograms;
-  __isset = other60.__isset;
+Envelope::Envelope(const Envelope& other67) {
+  vm = other67.vm;
+  fence = other67.fence;
+  probe = other67.probe;
+  permitRequests = other67.permitRequests;
+  permitAnswers = other67.permitAnswers;
+  permitReleases = other67.permitReleases;
+  permitsReleased = other67.permitsReleased;
+  heldPrograms = other67.heldPrograms;
+  vmNews = other67.vmNews;
+  wantsNews = other67.wantsNews;
+  __isset = other67.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other68) {
+  vm = other68.vm;
+  fence = other68.fence;
+  probe = other68.probe;
+  permitRequests = other68.permitRequests;
+  permitAnswers = other68.permitAnswers;
+  permitReleases = other68.permitReleases;
+  permitsReleased = other68.permitsReleased;
+  heldPrograms = other68.heldPrograms;
+  vmNews = other68.vmNews;
+  wantsNews = other68.wantsNews;
+  __isset = other68.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -1705,6 +1979,8 @@
   out << ", " << "permitReleases="; (__isset.permitReleases ? (out << to_string(permitReleases)) : (out << "<null>"));
   out << ", " << "permitsReleased="; (__isset.permitsReleased ? (out << to_string(permitsReleased)) : (out << "<null>"));
   out << ", " << "heldPrograms="; (__isset.heldPrograms ? (out << to_string(heldPrograms)) : (out << "<null>"));
+  out << ", " << "vmNews="; (__isset.vmNews ? (out << to_string(vmNews)) : (out << "<null>"));
+  out << ", " << "wantsNews="; (__isset.wantsNews ? (out << to_string(wantsNews)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -52,6 +52,8 @@
 
 class HeldPrograms;
 
+class VmNews;
+
 class Envelope;
 
 typedef struct _Suspicion__isset {
@@ -588,8 +590,93 @@
 
 std::ostream& operator<<(std::ostream& out, const HeldPrograms& obj);
 
+typedef struct _VmNews__isset {
+  _VmNews__isset() : vm(false), front(false), peers(false), zone(false), incarnation(false), ageMillis(false), leaving(false) {}
+  bool vm :1;
+  bool front :1;
+  bool peers :1;
+  bool zone :1;
+  bool incarnation :1;
+  bool ageMillis :1;
+  bool leaving :1;
+} _VmNews__isset;
+
+class VmNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  VmNews(const VmNews&);
+  VmNews& operator=(const VmNews&);
+  VmNews() noexcept
+         : vm(),
+           front(),
+           peers(),
+           zone(),
+           incarnation(0),
+           ageMillis(0),
+           leaving(0) {
+  }
+
+  virtual ~VmNews() noexcept;
+  std::string vm;
+  std::string front;
+  std::string peers;
+  std::string zone;
+  int64_t incarnation;
+  int32_t ageMillis;
+  bool leaving;
+
+  _VmNews__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_front(const std::string& val);
+
+  void __set_peers(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_ageMillis(const int32_t val);
+
+  void __set_leaving(const bool val);
+
+  bool operator == (const VmNews & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(front == rhs.front))
+      return false;
+    if (!(peers == rhs.peers))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const VmNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VmNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VmNews &a, VmNews &b);
+
+std::ostream& operator<<(std::ostream& out, const VmNews& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -598,6 +685,8 @@
   bool permitReleases :1;
   bool permitsReleased :1;
   bool heldPrograms :1;
+  bool vmNews :1;
+  bool wantsNews :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -607,7 +696,8 @@
   Envelope& operator=(const Envelope&);
   Envelope() noexcept
            : vm(),
-             fence(0) {
+             fence(0),
+             wantsNews(0) {
   }
 
   virtual ~Envelope() noexcept;
@@ -619,6 +709,8 @@
   std::vector<PermitRelease>  permitReleases;
   std::vector<PermitReleased>  permitsReleased;
   HeldPrograms heldPrograms;
+  std::vector<VmNews>  vmNews;
+  bool wantsNews;
 
   _Envelope__isset __isset;
 
@@ -638,6 +730,10 @@
 
   void __set_heldPrograms(const HeldPrograms& val);
 
+  void __set_vmNews(const std::vector<VmNews> & val);
+
+  void __set_wantsNews(const bool val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -668,6 +764,14 @@
       return false;
     else if (__isset.heldPrograms && !(heldPrograms == rhs.heldPrograms))
       return false;
+    if (__isset.vmNews != rhs.__isset.vmNews)
+      return false;
+    else if (__isset.vmNews && !(vmNews == rhs.vmNews))
+      return false;
+    if (__isset.wantsNews != rhs.__isset.wantsNews)
+      return false;
+    else if (__isset.wantsNews && !(wantsNews == rhs.wantsNews))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -88,6 +88,22 @@
     2: list<string> programs;
 }
 
+// What the sender knows of one VM that callers connect to.
+struct VmNews {
+    1: string vm;
+    // Where callers connect, "address:port".
+    2: string front;
+    // Where this VM receives datagrams, "address:port".
+    3: string peers;
+    4: string zone;
+    // Calendar time of the process's start in milliseconds; the newest one counts.
+    5: i64 incarnation;
+    // Time since this incarnation itself was last heard of, in milliseconds.
+    6: i32 ageMillis;
+    // It is stopping and must not be handed out to callers.
+    7: bool leaving;
+}
+
 // One datagram.
 struct Envelope {
     1: string vm;
@@ -98,4 +114,7 @@
     6: optional list<PermitRelease> permitReleases;
     7: optional list<PermitReleased> permitsReleased;
     8: optional HeldPrograms heldPrograms;
+    9: optional list<VmNews> vmNews;
+    // The receiver is asked to send what it knows.
+    10: optional bool wantsNews;
 }
