Mend the front door: no final refusal from a catalogue that is behind

Ruled out: ownership that moves (no NotOwner in the logs). Change: a VM reads the catalogue once more before it refuses a key; concurrent calls share the read, and their number is bounded. Test: CallsRightAfterAnAcceptedEditAreNotRefused fails without the change.

--- a/control/node.h
+++ b/control/node.h
@@ -148,6 +148,8 @@
     ProbeState probeState() const;
     std::optional<Refusal> checkReady() const;
     void refuse(CallHandle handle, const Refusal &refusal);
+    void confirmRefusal(CallRequest request);
+    void submitKnown(CallRequest request);
     void answerPermits(const VmId &from, FenceNumber fence, const peers::Envelope &envelope);
     void passHeld(const ReplicaId &replica, const std::vector<ProgramKey> &programs);
     /** The owner of a program elsewhere, if it can be reached. */
@@ -173,6 +175,8 @@
     Joiner m_joiner;
     Admission m_admission;
     BurnCounter m_burn;
+    /** Calls whose key is refused unless the store knows better. */
+    std::size_t m_confirming = 0;
     bool m_started = false;
     bool m_leaving = false;
     bool m_leaveWritten = false;
--- a/control/shared_feed.cpp
+++ b/control/shared_feed.cpp
@@ -3,6 +3,8 @@
 #include "control/records.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace boragepath {
 
@@ -39,6 +41,25 @@
     read();
 }
 
+void SharedFeed::refresh(std::function<void(bool)> done)
+{
+    m_refreshes.push_back(std::move(done));
+    if (!m_reading) {
+        read();
+    }
+}
+
+void SharedFeed::finishRefreshes(const std::vector<std::function<void(bool)>> &refreshes,
+                                 bool answered)
+{
+    for (const auto &done : refreshes) {
+        done(answered);
+    }
+    if (!m_reading && !m_refreshes.empty()) {
+        read();
+    }
+}
+
 void SharedFeed::confirm(Duration age)
 {
     if (m_ready) {
@@ -55,6 +76,7 @@
 {
     m_reading = true;
     m_again = false;
+    m_refreshing = std::exchange(m_refreshes, {});
     const SteadyTime started = m_clock.now();
     const std::uint64_t generation = m_generation;
     m_reader.readOnce({keys::sharedPrefix(), m_position}, [=, this](const RangeOutcome &outcome) {
@@ -64,6 +86,7 @@
         m_reading = false;
         if (!outcome.answered) {
             m_nextRead = m_clock.now() + RetryInterval;
+            finishRefreshes(std::exchange(m_refreshing, {}), false);
             return;
         }
         m_nextRead = m_again ? m_clock.now() : started + m_interval;
@@ -74,6 +97,7 @@
         }
         m_ready = true;
         m_take(outcome.rows);
+        finishRefreshes(std::exchange(m_refreshing, {}), true);
     });
 }
 
@@ -83,6 +107,12 @@
     m_reading = false;
     m_again = false;
     m_nextRead = m_clock.now();
+    std::vector<std::function<void(bool)>> refreshes = std::exchange(m_refreshing, {});
+    std::move(m_refreshes.begin(), m_refreshes.end(), std::back_inserter(refreshes));
+    m_refreshes.clear();
+    for (const auto &done : refreshes) {
+        done(false);
+    }
 }
 
 } // namespace boragepath
--- a/control/shared_feed.h
+++ b/control/shared_feed.h
@@ -25,6 +25,11 @@
     void hint(RowRevision revision);
     /** Another VM knew @p age ago that nothing newer was in force. */
     void confirm(Duration age);
+    /**
+     * Reads at once; @p done comes after a read that began later than this call,
+     * with false if the store did not answer it.
+     */
+    void refresh(std::function<void(bool)> done);
     /** Takes note of a row that this VM wrote itself. */
     void noteRow(RowRevision revision) { m_newestRow = std::max(m_newestRow, revision); }
 
@@ -38,6 +43,7 @@
 
 private:
     void read();
+    void finishRefreshes(const std::vector<std::function<void(bool)>> &refreshes, bool answered);
 
     const Clock &m_clock;
     TableReader &m_reader;
@@ -51,6 +57,10 @@
     RowRevision m_newestRow;
     SteadyTime m_freshAt;
     SteadyTime m_nextRead;
+    /** Wait for the next read to begin. */
+    std::vector<std::function<void(bool)>> m_refreshes;
+    /** Wait for the read under way. */
+    std::vector<std::function<void(bool)>> m_refreshing;
 };
 
 } // namespace boragepath
--- a/standin/standin_servers.cpp
+++ b/standin/standin_servers.cpp
@@ -78,7 +78,7 @@
     return result;
 }
 
-std::uint64_t numberAt(const json::object &object, const char *field)
+std::uint64_t textNumberAt(const json::object &object, const char *field)
 {
     std::uint64_t number = 0;
     static_cast<void>(absl::SimpleAtoi(stringAt(object, field), &number));
@@ -109,7 +109,7 @@
     for (const json::value &item : arrayAt(body, "compare")) {
         const json::object &condition = item.as_object();
         transaction.conditions.push_back(
-            {decodedAt(condition, "key"), RowRevision(numberAt(condition, "mod_revision"))});
+            {decodedAt(condition, "key"), RowRevision(textNumberAt(condition, "mod_revision"))});
     }
     for (const json::value &item : arrayAt(body, "success")) {
         const json::object *put = objectAt(item.as_object(), "request_put");
@@ -227,7 +227,7 @@
     }
     const RangeRequest range{
         decodedAt(body.get_object(), "key"),
-        RowRevision(std::max<std::uint64_t>(1, numberAt(body.get_object(), "min_mod_revision"))
+        RowRevision(std::max<std::uint64_t>(1, textNumberAt(body.get_object(), "min_mod_revision"))
                     - 1)};
     const RangeOutcome outcome = m_store.range(range);
     co_await responder.send(rangeAnswer(outcome));
--- a/tests/control/failure_test.cpp
+++ b/tests/control/failure_test.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/support/world.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <absl/strings/match.h>
@@ -76,6 +77,33 @@
 
 } // namespace
 
+// --- A catalogue that has not reached every VM -------------------------------
+
+TEST_F(FailureTest, CallsRightAfterAnAcceptedEditAreNotRefused)
+{
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        // No hints between VMs: each learns of the edit by its own slow reads.
+        m_world.cutPeers(vm, true);
+    }
+    m_world.putEntry(m_world.makeEntry("fresh"), 0);
+    ASSERT_TRUE(m_world.runUntil(
+        [this] { return m_world.node(0)->catalogue().find(EntryName("fresh")) != nullptr; },
+        Seconds(1)));
+    for (int program = 0; program < 12; ++program) {
+        Script script = scriptOf({modelCall(), onceOnlyCall()});
+        script.entry = "fresh";
+        script.program = absl::StrCat("program-", program);
+        m_world.runScript(script);
+    }
+    ASSERT_TRUE(finishAll());
+    for (const auto &[name, outcome] : m_world.results()) {
+        SCOPED_TRACE(name);
+        EXPECT_TRUE(outcome.finished);
+        EXPECT_THAT(outcome.reasons, testing::Not(testing::Contains(Reason::Unauthorized)));
+    }
+    expectNoBreach();
+}
+
 // --- Owners that die -------------------------------------------------------
 
 TEST_F(FailureTest, OwnerKilledBetweenTurns)
