Drop idle connections to the store after a timeout

Ruled out: the interval of readings (0.6 s). Test: HttpPool.OneTimeoutIsEnoughAfterItsConnectionsFellSilent.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -260,6 +260,10 @@
         }
     }
     co_await exchange(*stream, message, timeout, result);
+    if (!result.complete) {
+        // Whatever silenced this connection may have silenced the idle ones, too.
+        connections->idle.clear();
+    }
     const bool reusable = result.complete && result.response.valueOf("Connection") != "close";
     if (reusable && connections->idle.size() < MaxIdleConnections) {
         stream->expires_never();
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -9,6 +9,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
 #include <openssl/x509.h>
@@ -190,4 +193,87 @@
     EXPECT_EQ(tls.status().code(), absl::StatusCode::kPermissionDenied);
 }
 
+// --- A server whose open connections fall silent ---------------------------
+
+namespace {
+
+/** Answers each request, but none on connections accepted before silence(). */
+class ForgetfulServer
+{
+public:
+    explicit ForgetfulServer(asio::io_context &context)
+        : m_acceptor(context, {asio::ip::make_address(ServerAt.address), ServerAt.port})
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    void silence() { m_generation += 1; }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), m_generation),
+                           asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket, int generation)
+    {
+        std::string request;
+        for (;;) {
+            const std::size_t size = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+            request.erase(0, size);
+            if (generation == m_generation) {
+                const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+            }
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_generation = 0;
+};
+
+} // namespace
+
+TEST(HttpPool, OneTimeoutIsEnoughAfterItsConnectionsFellSilent)
+{
+    asio::io_context context(1);
+    ForgetfulServer server(context);
+    HttpPool pool(ServerAt);
+    int answered = 0;
+    std::vector<bool> later;
+    const auto call = [&]() -> asio::awaitable<void> {
+        const HttpResult result = co_await pool.call(HttpRequest(), Patience);
+        answered += result.complete ? 1 : 0;
+    };
+    const auto callsAfterwards = [&]() -> asio::awaitable<void> {
+        constexpr Milliseconds ShortTimeout{50};
+        for (int index = 0; index < 3; ++index) {
+            const HttpResult result = co_await pool.call(HttpRequest(), ShortTimeout);
+            later.push_back(result.complete);
+        }
+        context.stop();
+    };
+    {
+        SCOPED_TRACE("six calls at once leave six idle connections");
+        for (int index = 0; index < 6; ++index) {
+            asio::co_spawn(context, call(), asio::detached);
+        }
+        while (answered < 6) {
+            context.run_one();
+        }
+    }
+    server.silence();
+    asio::co_spawn(context, callsAfterwards(), asio::detached);
+    context.run();
+    {
+        SCOPED_TRACE("the first call waits in vain, the second has a connection of its own");
+        EXPECT_EQ(later, (std::vector<bool>{false, true, true}));
+    }
+}
+
 } // namespace boragepath
