Record turns under their own id, settle with later turns, 1,024 parts

Memory: a sixteenth of the VM's was allowed for conversations in memory. Ruled out: time limits of single calls (1 s, above the slowed answers). Change: 1,024 parts; a turn's conversation is one unconditional transaction under the turn's id, found by one read whichever program continues from it; budgets settle within 0.4 s, mostly with a later turn; conversations in memory get 1/64.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -129,14 +129,14 @@
 {
     Call &call = m_calls[handle];
     const SteadyTime until = std::min(call.deadline, call.openedAt + StorePatience);
-    m_parts.conversations.find(
-        programOf(call.incoming), call.incoming.previousTurn, until,
-        [this, handle](ConversationLookup lookup, const Conversation &conversation) {
-            if (lookup == ConversationLookup::Absent) {
+    m_parts.turns.find(
+        call.incoming.previousTurn, until,
+        [this, handle](TurnLookup lookup, const Conversation &conversation) {
+            if (lookup == TurnLookup::Absent) {
                 refuse(handle, CallRefusalReason::UnknownTurn);
                 return;
             }
-            if (lookup == ConversationLookup::StoreAway) {
+            if (lookup == TurnLookup::StoreAway) {
                 refuse(handle, CallRefusalReason::StoreAway);
                 return;
             }
@@ -267,28 +267,22 @@
     m_calls.erase(found);
     releaseReplica(call, ReplicaObservation());
     logEnd(call, end);
-    const bool keeps = call.route != nullptr && call.route->keepsTurns && end.whole;
     if (call.reserved) {
-        settle(call, end, keeps ? done : [](bool) { });
+        m_parts.ledger.settle({programOf(call.incoming), call.incoming.attempt, end.tokens});
     }
-    if (!keeps || !call.reserved) {
-        done(true);
+    if (call.route != nullptr && call.route->keepsTurns && end.whole) {
+        record(call, end, std::move(done));
+        return;
     }
+    done(true);
 }
 
-void CallScheduler::settle(const Call &call, const CallEnd &end, std::function<void(bool)> done)
+void CallScheduler::record(const Call &call, const CallEnd &end, std::function<void(bool)> done)
 {
-    TurnSettlement settlement;
-    settlement.program = programOf(call.incoming);
-    settlement.turn = call.incoming.attempt;
-    settlement.tokens = end.tokens;
-    const bool keeps = call.route->keepsTurns && end.whole;
-    if (keeps) {
-        std::string text = call.history == nullptr ? std::string() : *call.history;
-        text += call.incoming.input == nullptr ? std::string() : *call.incoming.input;
-        text += end.output;
-        settlement.conversation = std::make_shared<const std::string>(std::move(text));
-    }
+    std::string text = call.history == nullptr ? std::string() : *call.history;
+    text += call.incoming.input == nullptr ? std::string() : *call.incoming.input;
+    text += end.output;
+    const auto conversation = std::make_shared<const std::string>(std::move(text));
     const auto answered = std::make_shared<bool>(false);
     const auto answerOnce = [answered, done = std::move(done)](bool recorded) {
         if (!*answered) {
@@ -296,16 +290,9 @@
             done(recorded);
         }
     };
-    if (keeps) {
-        m_parts.timers.after(call.deadline - m_parts.clock.now(),
-                             [answerOnce] { answerOnce(false); });
-    }
-    m_parts.ledger.settle(settlement, [this, settlement, answerOnce] {
-        if (settlement.conversation != nullptr) {
-            m_parts.conversations.put(settlement.turn, settlement.conversation);
-        }
-        answerOnce(true);
-    });
+    m_parts.timers.after(call.deadline - m_parts.clock.now(), [answerOnce] { answerOnce(false); });
+    m_parts.turns.record(call.incoming.attempt, conversation, call.route->keepTime,
+                         [answerOnce] { answerOnce(true); });
 }
 
 void CallScheduler::logEnd(const Call &call, const CallEnd &end) const
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "control/conversation_cache.h"
 #include "control/program_ledger.h"
 #include "control/replica_table.h"
 #include "control/route_table.h"
+#include "control/turn_archive.h"
 #include "control/vm_directory.h"
 #include "core/clock.h"
 #include "core/ids.h"
@@ -110,7 +110,7 @@
         Timers &timers;
         ReplicaTable &replicas;
         ProgramLedger &ledger;
-        ConversationCache &conversations;
+        TurnArchive &turns;
         const VmDirectory &vms;
         ZoneId zone;
     };
@@ -158,7 +158,7 @@
     void dispatch(CallHandle handle);
     void refuse(CallHandle handle, CallRefusalReason reason);
     std::int64_t connectionShare(const PoolName &service) const;
-    void settle(const Call &call, const CallEnd &end, std::function<void(bool)> done);
+    void record(const Call &call, const CallEnd &end, std::function<void(bool)> done);
     void releaseReplica(Call &call, const ReplicaObservation &observation);
     void logEnd(const Call &call, const CallEnd &end) const;
 
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -1,20 +1,21 @@
 #include "control/program_ledger.h"
 
-#include <algorithm>
+#include "control/store_retry.h"
+
+#include <memory>
+#include <vector>
 
 namespace boragepath {
 
 namespace {
 
-constexpr Milliseconds FirstPause{15};
-constexpr Milliseconds LongestPause{600};
-constexpr int MaxPauseDoublings = 6;
+/** Settlements wait this long for a later turn; refusals for the budget count them at their most. */
+constexpr Milliseconds SettlementDelay{400};
 /** Records kept for programs without changes under way; each is about 200 bytes. */
 constexpr std::size_t MaxIdlePrograms = 2'000;
 /** Settlements that may wait for the store; beyond it no new turn is begun. */
 constexpr std::size_t MaxPending = 4'000;
-/** Changes in one transaction: a conversation may take several of the 100 entries allowed. */
-constexpr std::size_t MaxChangesAtOnce = 8;
+constexpr std::size_t MaxChangesAtOnce = 32;
 
 /** Applies a change that the row shows as not done yet; false if the budget forbids it. */
 bool applyReservation(ProgramRecord &record, const TurnClaim &claim)
@@ -61,16 +62,39 @@
     pump(claim.program);
 }
 
-void ProgramLedger::settle(const TurnSettlement &settlement, std::function<void()> done)
+void ProgramLedger::settle(const TurnSettlement &settlement)
 {
     Change change;
     change.settles = true;
     change.settlement = settlement;
     change.deadline = SteadyTime::max();
-    change.settled = std::move(done);
-    m_programs[settlement.program].queue.push_back(std::move(change));
+    Program &program = m_programs[settlement.program];
+    program.queue.push_back(std::move(change));
     m_pending += 1;
-    pump(settlement.program);
+    if (program.busy || program.flushPlanned) {
+        return;
+    }
+    program.flushPlanned = true;
+    m_timers.after(SettlementDelay, [this, id = settlement.program] {
+        const auto found = m_programs.find(id);
+        if (found != m_programs.end()) {
+            found->second.flushPlanned = false;
+            pump(id);
+        }
+    });
+}
+
+void ProgramLedger::flush()
+{
+    std::vector<ProgramId> waiting;
+    for (const auto &[id, program] : m_programs) {
+        if (!program.queue.empty()) {
+            waiting.push_back(id);
+        }
+    }
+    for (const ProgramId &id : waiting) {
+        pump(id);
+    }
 }
 
 void ProgramLedger::pump(const ProgramId &id)
@@ -106,10 +130,8 @@
             // The reservation may be in the row, or get there late: give it back.
             Change release;
             release.settles = true;
-            release.settlement = {change.claim.program, change.claim.turn, 0, nullptr};
+            release.settlement = {change.claim.program, change.claim.turn, 0};
             release.deadline = SteadyTime::max();
-            release.settled = [] { };
-            release.mayBeDone = false;
             program.queue.push_back(std::move(release));
             m_pending += 1;
         }
@@ -120,9 +142,7 @@
 void ProgramLedger::finish(Change &change, Reservation reservation)
 {
     m_pending -= 1;
-    if (change.settles) {
-        change.settled();
-    } else {
+    if (!change.settles) {
         change.reserved(reservation);
     }
 }
@@ -144,12 +164,6 @@
             } else {
                 record.spent += settlement.tokens;
                 record.reserved.erase(settlement.turn);
-                if (settlement.conversation != nullptr) {
-                    for (RowPut &row : conversationRows(partOfProgram(id), settlement.turn,
-                                                        *settlement.conversation)) {
-                        transaction.puts.push_back(std::move(row));
-                    }
-                }
             }
         } else if (program.known && program.record.reserved.contains(change.claim.turn)) {
             goesTo = &done;
@@ -238,11 +252,9 @@
 void ProgramLedger::pauseThenPump(const ProgramId &id, bool read)
 {
     Program &program = m_programs[id];
-    const int doublings = std::min(program.failures, MaxPauseDoublings);
+    const Duration pause = storeRetryPause(program.failures, m_random);
     program.failures += 1;
-    const Duration most = std::min<Duration>(FirstPause * (1 << doublings), LongestPause);
-    std::uniform_int_distribution<Duration::rep> jitter(most.count() / 2, most.count());
-    m_timers.after(Duration(jitter(m_random)), [this, id, read] {
+    m_timers.after(pause, [this, id, read] {
         if (read) {
             readAgain(id);
             return;
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -31,14 +31,12 @@
     std::int64_t most = 0;
 };
 
-/** What one turn handed out, and what is to be kept of it. */
+/** What one turn handed out. */
 struct TurnSettlement
 {
     ProgramId program;
     AttemptId turn;
     std::int64_t tokens = 0;
-    /** The conversation that ends with this turn; null if it isn't kept. */
-    Conversation conversation;
 };
 
 /**
@@ -47,10 +45,10 @@
  * There is no owner: each change is one transaction on the program's row,
  * conditional on the version that it was computed from. A turn reserves the
  * most that it may hand out before it runs, and settles what it did hand out
- * together with its conversation. Changes that fall due while one is under way
- * go into the next transaction. After a call without an answer the row itself
- * tells whether the change took effect; a late effect of the same change fails
- * on the version.
+ * soon after, mostly in the transaction of a later turn. Changes that fall due
+ * while one is under way go into the next transaction. After a call without an
+ * answer the row itself tells whether the change took effect; a late effect of
+ * the same change fails on the version.
  */
 class ProgramLedger
 {
@@ -60,8 +58,10 @@
 
     void reserve(const TurnClaim &claim, SteadyTime deadline,
                  std::function<void(Reservation)> done);
-    /** @p done comes once the settlement is in the store, which it is tried until. */
-    void settle(const TurnSettlement &settlement, std::function<void()> done);
+    /** Is tried until it is in the store; nobody waits for it. */
+    void settle(const TurnSettlement &settlement);
+    /** Sends what waits for a later turn to go with, for example before a stop. */
+    void flush();
 
     /** Changes that wait for the store. */
     std::size_t pending() const { return m_pending; }
@@ -76,7 +76,6 @@
         /** A transaction with it went unanswered. */
         bool mayBeDone = false;
         std::function<void(Reservation)> reserved;
-        std::function<void()> settled;
     };
     struct Program
     {
@@ -87,6 +86,8 @@
         /** No change by another VM can have been missed since the reading. */
         bool fresh = false;
         bool busy = false;
+        /** Settlements will be sent by a timer at the latest. */
+        bool flushPlanned = false;
         int failures = 0;
         std::list<Change> queue;
         SteadyTime lastUse;
--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -1,14 +1,8 @@
 #include "control/program_record.h"
 
-#include "core/hash.h"
+#include "control/turn_rows.h"
 #include "core/json_access.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
-
-#include <algorithm>
-
 namespace boragepath {
 
 namespace json = boost::json;
@@ -16,10 +10,6 @@
 namespace {
 
 constexpr const char *ProgramTable = "programs";
-constexpr const char *TurnTable = "turns";
-/** Below the platform's limit of 65,536 bytes a row. */
-constexpr std::size_t ConversationRowBytes = 49'152;
-constexpr std::size_t MaxKeyTextBytes = 128;
 
 } // namespace
 
@@ -65,49 +55,9 @@
     return record;
 }
 
-std::string partOfProgram(const ProgramId &program)
-{
-    return absl::StrCat("p", hashOf(program.value()) % StorePartCount);
-}
-
-std::vector<std::string> allParts()
-{
-    std::vector<std::string> parts;
-    for (std::size_t index = 0; index < StorePartCount; ++index) {
-        parts.push_back(absl::StrCat("p", index));
-    }
-    return parts;
-}
-
 RowName programRow(const ProgramId &program)
 {
-    return {ProgramTable, partOfProgram(program), program.value()};
-}
-
-std::vector<RowPut> conversationRows(const std::string &part, const AttemptId &turn,
-                                     const std::string &conversation)
-{
-    std::vector<RowPut> rows;
-    std::size_t offset = 0;
-    do {
-        const std::string key = absl::StrFormat("%s/%03d", turn.value(), rows.size());
-        rows.push_back({{TurnTable, part, key}, conversation.substr(offset, ConversationRowBytes)});
-        offset += ConversationRowBytes;
-    } while (offset < conversation.size());
-    return rows;
-}
-
-RowRange conversationRange(const std::string &part, const AttemptId &turn)
-{
-    // '0' is the character behind '/'.
-    return {TurnTable, part, turn.value() + "/", turn.value() + "0"};
-}
-
-bool isRowKeyText(const std::string &text)
-{
-    return !text.empty() && text.size() <= MaxKeyTextBytes
-        && std::all_of(text.begin(), text.end(),
-                       [](unsigned char c) { return absl::ascii_isgraph(c) && c != '/'; });
+    return {ProgramTable, partOf(program.value()), program.value()};
 }
 
 } // namespace boragepath
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -5,10 +5,8 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace boragepath {
 
@@ -30,28 +28,7 @@
 /** Nothing if @p text is no record. */
 std::optional<ProgramRecord> decodeProgramRecord(const std::string &text);
 
-/**
- * A conversation up to and including one turn: each turn's input, then the data
- * of each of its events and a line feed.
- */
-using Conversation = std::shared_ptr<const std::string>;
-
-/** Parts of the store that programs are spread over, since one part is slow. */
-constexpr std::size_t StorePartCount = 16;
-
-/** The part that keeps a program and the turns that it ended. */
-std::string partOfProgram(const ProgramId &program);
-/** The name of each part. */
-std::vector<std::string> allParts();
-
+/** The row that keeps a program's record. */
 RowName programRow(const ProgramId &program);
-/** The rows that keep @p conversation as the one that ends with @p turn. */
-std::vector<RowPut> conversationRows(const std::string &part, const AttemptId &turn,
-                                     const std::string &conversation);
-/** Where the rows of a turn lie within a part. */
-RowRange conversationRange(const std::string &part, const AttemptId &turn);
-
-/** True if @p text may be part of a row's key: short, and without separators. */
-bool isRowKeyText(const std::string &text);
 
 } // namespace boragepath
--- /dev/null
+++ b/control/turn_rows.cpp
@@ -0,0 +1,74 @@
+#include "control/turn_rows.h"
+
+#include "core/hash.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+namespace boragepath {
+
+namespace {
+
+constexpr const char *TurnTable = "turns";
+/** Below the platform's limit of 65,536 bytes a row. */
+constexpr std::size_t TurnRowBytes = 49'152;
+constexpr std::size_t MaxKeyTextBytes = 128;
+
+RowName turnRowName(const AttemptId &turn, std::size_t index)
+{
+    return {TurnTable, partOf(turn.value()), absl::StrFormat("%s/%03d", turn.value(), index)};
+}
+
+} // namespace
+
+std::string partOf(const std::string &id)
+{
+    return absl::StrCat("p", hashOf(id) % StorePartCount);
+}
+
+std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &conversation)
+{
+    std::vector<RowPut> rows;
+    std::size_t offset = 0;
+    do {
+        rows.push_back({turnRowName(turn, rows.size()), conversation.substr(offset, TurnRowBytes)});
+        offset += TurnRowBytes;
+    } while (offset < conversation.size());
+    return rows;
+}
+
+std::vector<RowName> turnRowNames(const AttemptId &turn, std::size_t count)
+{
+    std::vector<RowName> names;
+    for (std::size_t index = 0; index < count; ++index) {
+        names.push_back(turnRowName(turn, index));
+    }
+    return names;
+}
+
+RowRange turnRange(const AttemptId &turn)
+{
+    // '0' is the character behind '/'.
+    return {TurnTable, partOf(turn.value()), turn.value() + "/", turn.value() + "0"};
+}
+
+Conversation conversationOf(const std::vector<StoreRow> &rows)
+{
+    std::string text;
+    for (const StoreRow &row : rows) {
+        text += row.value;
+    }
+    return std::make_shared<const std::string>(std::move(text));
+}
+
+bool isRowKeyText(const std::string &text)
+{
+    return !text.empty() && text.size() <= MaxKeyTextBytes
+        && std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return absl::ascii_isgraph(c) && c != '/'; });
+}
+
+} // namespace boragepath
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -28,8 +28,8 @@
 constexpr Milliseconds ShortestStop{3'600};
 /** Before the platform kills the process. */
 constexpr Milliseconds StopMargin{900};
-/** The cache of conversations may take this part of the VM's memory. */
-constexpr std::int64_t ConversationMemoryPart = 16;
+/** Conversations in memory may take this part of the VM's: a few hundred that go on here. */
+constexpr std::int64_t ConversationMemoryPart = 64;
 constexpr std::int64_t BytesPerMegabyte = 1024 * 1024;
 constexpr unsigned Unavailable = 503;
 constexpr unsigned NotFound = 404;
@@ -112,9 +112,9 @@
     , m_store(m_control, m_settings.store, m_health)
     , m_replicas(m_clock)
     , m_ledger(m_clock, m_timers, m_store, m_health, seed)
-    , m_conversations(m_clock, m_timers, m_store, m_health, conversationBytes(m_settings))
+    , m_turns(m_clock, m_timers, m_store, m_health, conversationBytes(m_settings), seed)
     , m_vms(m_clock, selfEntry(m_settings, m_clock), seed)
-    , m_scheduler({m_clock, m_timers, m_replicas, m_ledger, m_conversations, m_vms, m_settings.zone})
+    , m_scheduler({m_clock, m_timers, m_replicas, m_ledger, m_turns, m_vms, m_settings.zone})
     , m_registry(
           m_clock, m_timers, m_store, m_health, m_replicas,
           [this](std::shared_ptr<const RouteTable> table) { useRoutes(std::move(table)); }, seed)
@@ -205,11 +205,13 @@
 void PlatformDaemon::finishStop()
 {
     const Duration since = m_clock.now() - *m_stopBegan;
-    const bool idle = m_front.requestsUnderWay() == 0 && m_ledger.pending() == 0;
+    m_ledger.flush();
+    const bool idle = m_front.requestsUnderWay() == 0 && m_ledger.pending() == 0
+        && m_turns.pending() == 0;
     if ((idle && since >= ShortestStop) || since >= m_settings.stopGrace - StopMargin) {
         LogLine("stopped")
             .add("calls", m_front.requestsUnderWay())
-            .add("pending", static_cast<std::int64_t>(m_ledger.pending()))
+            .add("pending", static_cast<std::int64_t>(m_ledger.pending() + m_turns.pending()))
             .info();
         m_control.stop();
         return;
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -3,10 +3,10 @@
 #include "backends/call_forwarder.h"
 #include "backends/replica_link.h"
 #include "control/call_scheduler.h"
-#include "control/conversation_cache.h"
 #include "control/program_ledger.h"
 #include "control/replica_table.h"
 #include "control/store_health.h"
+#include "control/turn_archive.h"
 #include "control/vm_directory.h"
 #include "net/http_server.h"
 #include "peers/peer_socket.h"
@@ -84,7 +84,7 @@
     platform::StoreClient m_store;
     ReplicaTable m_replicas;
     ProgramLedger m_ledger;
-    ConversationCache m_conversations;
+    TurnArchive m_turns;
     VmDirectory m_vms;
     CallScheduler m_scheduler;
     platform::RegistryReader m_registry;
