--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -15,7 +15,7 @@
 /** A replica frees a place about this fast. */
 constexpr Milliseconds ReplicaRetryAfter{150};
 /** An outage of the store lasts seconds; coming back sooner is in vain. */
-constexpr Milliseconds StoreRetryAfter{700};
+constexpr Milliseconds StoreRetryAfter{1'500};
 constexpr Milliseconds ConfigurationRetryAfter{300};
 /** Several replicas may decline a call before it is given up. */
 constexpr int MaxDispatches = 4;
