--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -81,28 +81,26 @@
 
 asio::awaitable<CallDecision> CallForwarder::open(const IncomingCall &call)
 {
-    return askControl<CallDecision>(
-        m_control, [this, call](std::function<void(const CallDecision &)> done) {
-            m_scheduler.open(call, std::move(done));
-        });
+    return askControl<CallDecision>(m_control,
+                                    [this, call](std::function<void(const CallDecision &)> done) {
+                                        m_scheduler.open(call, std::move(done));
+                                    });
 }
 
 asio::awaitable<CallDecision> CallForwarder::moveOn(CallHandle handle,
                                                     const ReplicaObservation &observation)
 {
     return askControl<CallDecision>(
-        m_control,
-        [this, handle, observation](std::function<void(const CallDecision &)> done) {
+        m_control, [this, handle, observation](std::function<void(const CallDecision &)> done) {
             m_scheduler.moveOn(handle, observation, std::move(done));
         });
 }
 
 asio::awaitable<bool> CallForwarder::close(CallHandle handle, const CallEnd &end)
 {
-    return askControl<bool>(m_control,
-                            [this, handle, end](std::function<void(const bool &)> done) {
-                                m_scheduler.close(handle, end, std::move(done));
-                            });
+    return askControl<bool>(m_control, [this, handle, end](std::function<void(const bool &)> done) {
+        m_scheduler.close(handle, end, std::move(done));
+    });
 }
 
 asio::awaitable<void> CallForwarder::serve(IncomingCall call, ReplicaCodec codec,
@@ -114,11 +112,17 @@
         co_await channel->refuse(*refusal);
         co_return;
     }
-    Progress progress{call, codec, *channel, std::get<CallDispatch>(decision), {}, 0, false, false,
-                      0, std::nullopt, {}, 0, {}};
+    Progress progress{call,     codec,
+                      *channel, std::get<CallDispatch>(decision),
+                      {},       0,
+                      false,    false,
+                      0,        std::nullopt,
+                      {},       0,
+                      {}};
     for (;;) {
         const Step step = co_await runOnce(progress);
-        const bool movesOn = step == Step::NotRun || (step == Step::Broken && progress.mayRunAgain());
+        const bool movesOn =
+            step == Step::NotRun || (step == Step::Broken && progress.mayRunAgain());
         if (!movesOn || channel->gone() || m_clock.now() >= progress.dispatch.deadline) {
             co_await finish(progress, step);
             co_return;
@@ -135,8 +139,8 @@
             co_return;
         }
         CallEnd end;
-        end.outcome = "refused:" + std::string(refusalReasonName(
-                                       std::get<CallRefusal>(decision).reason));
+        end.outcome =
+            "refused:" + std::string(refusalReasonName(std::get<CallRefusal>(decision).reason));
         co_await close(handle, end);
         m_counters.refused += 1;
         co_await channel->refuse(std::get<CallRefusal>(decision));
@@ -207,8 +211,8 @@
             bodyBytes += part->size();
         }
     }
-    const std::string head = progress.codec.requestHead(dispatch.replica, timeLeft, bodyBytes,
-                                                        progress.lastEventId);
+    const std::string head =
+        progress.codec.requestHead(dispatch.replica, timeLeft, bodyBytes, progress.lastEventId);
     const SteadyTime sentAt = m_clock.now();
     progress.runs += 1;
     ReplyHead reply;
@@ -249,7 +253,8 @@
     }
     if (step == Step::Delivered && link->reusable()) {
         const Duration idle = reply.idleLimit.value_or(DefaultIdleLimit);
-        m_links.giveBack(dispatch.replica.endpoint, link, std::max<Duration>(idle - IdleMargin, idle / 2));
+        m_links.giveBack(dispatch.replica.endpoint, link,
+                         std::max<Duration>(idle - IdleMargin, idle / 2));
     } else {
         link->close();
     }
@@ -281,12 +286,13 @@
     co_return false;
 }
 
-asio::awaitable<CallForwarder::Step>
-CallForwarder::passWhole(Progress &progress, ReplicaLink &link, const ReplyHead &head)
+asio::awaitable<CallForwarder::Step> CallForwarder::passWhole(Progress &progress, ReplicaLink &link,
+                                                              const ReplyHead &head)
 {
     std::string body;
     while (!link.done()) {
-        if (!co_await link.readSome(body, silenceEnd(progress)) || body.size() > MaxWholeAnswerBytes) {
+        if (!co_await link.readSome(body, silenceEnd(progress))
+            || body.size() > MaxWholeAnswerBytes) {
             progress.trouble = "answer broke off";
             co_return progress.channel.gone() ? Step::CallerGone : Step::Broken;
         }
@@ -395,15 +401,13 @@
     end.tokens = progress.events * progress.dispatch.tokensPerEvent;
     end.output = std::move(progress.output);
     end.status = progress.status;
-    end.outcome = step == Step::Delivered ? "answered"
-        : channel.gone() || step == Step::CallerGone
-        ? "caller-gone"
-        : "failed:" + progress.trouble;
+    end.outcome = step == Step::Delivered            ? "answered"
+        : channel.gone() || step == Step::CallerGone ? "caller-gone"
+                                                     : "failed:" + progress.trouble;
     const CallHandle handle = progress.dispatch.handle;
     const ReplicaObservation observation = progress.observation;
-    asio::post(m_control, [this, handle, observation] {
-        m_scheduler.leaveReplica(handle, observation);
-    });
+    asio::post(m_control,
+               [this, handle, observation] { m_scheduler.leaveReplica(handle, observation); });
     const bool recorded = co_await close(handle, end);
     if (channel.gone() || step == Step::CallerGone) {
         m_counters.callerGone += 1;
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -54,14 +54,11 @@
     virtual ~CallerChannel() = default;
 
     /** Sends a whole answer. */
-    virtual boost::asio::awaitable<void> answer(unsigned status,
-                                                const std::vector<HttpField> &fields,
-                                                const std::string &body)
-        = 0;
+    virtual boost::asio::awaitable<void>
+    answer(unsigned status, const std::vector<HttpField> &fields, const std::string &body) = 0;
     /** Sends the head of an answer whose body follows in parts. */
     virtual boost::asio::awaitable<bool> begin(unsigned status,
-                                               const std::vector<HttpField> &fields)
-        = 0;
+                                               const std::vector<HttpField> &fields) = 0;
     virtual boost::asio::awaitable<bool> part(const std::string &bytes) = 0;
     /** Ends a body in parts as complete. */
     virtual boost::asio::awaitable<bool> end() = 0;
--- a/backends/replica_link.h
+++ b/backends/replica_link.h
@@ -24,9 +24,8 @@
 
     boost::asio::awaitable<bool> connect(const Endpoint &endpoint, Milliseconds limit);
     /** Sends a request head and its body; false if the connection broke. */
-    boost::asio::awaitable<bool> send(const std::string &head,
-                                      const std::vector<const std::string *> &body,
-                                      SteadyTime until);
+    boost::asio::awaitable<bool>
+    send(const std::string &head, const std::vector<const std::string *> &body, SteadyTime until);
     /** Reads the head of the next response; false if none arrives in time. */
     boost::asio::awaitable<bool> readHead(HttpResponse &head, SteadyTime until);
     /** Appends some of the body; false if it breaks off. done() tells its end. */
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -129,20 +129,19 @@
 {
     Call &call = m_calls[handle];
     const SteadyTime until = std::min(call.deadline, call.openedAt + StorePatience);
-    m_parts.turns.find(
-        call.incoming.previousTurn, until,
-        [this, handle](TurnLookup lookup, const Conversation &conversation) {
-            if (lookup == TurnLookup::Absent) {
-                refuse(handle, CallRefusalReason::UnknownTurn);
-                return;
-            }
-            if (lookup == TurnLookup::StoreAway) {
-                refuse(handle, CallRefusalReason::StoreAway);
-                return;
-            }
-            m_calls[handle].history = conversation;
-            reserve(handle);
-        });
+    m_parts.turns.find(call.incoming.previousTurn, until,
+                       [this, handle](TurnLookup lookup, const Conversation &conversation) {
+                           if (lookup == TurnLookup::Absent) {
+                               refuse(handle, CallRefusalReason::UnknownTurn);
+                               return;
+                           }
+                           if (lookup == TurnLookup::StoreAway) {
+                               refuse(handle, CallRefusalReason::StoreAway);
+                               return;
+                           }
+                           m_calls[handle].history = conversation;
+                           reserve(handle);
+                       });
 }
 
 void CallScheduler::reserve(CallHandle handle)
@@ -233,7 +232,7 @@
     }
     CallEnd end;
     end.outcome = std::string(refusalReasonName(reason));
-    close(handle, end, [](bool) { });
+    close(handle, end, [](bool) {});
     done(CallRefusal{reason, retryAfterOf(reason)});
 }
 
--- a/control/node_calls.cpp
+++ b/control/node_calls.cpp
@@ -19,7 +19,8 @@
 
 void Node::refuse(CallHandle handle, const Refusal &refusal)
 {
-    m_effects.log("refused", absl::StrCat(std::string(reasonName(refusal.reason)), ": ", refusal.message));
+    m_effects.log("refused",
+                  absl::StrCat(std::string(reasonName(refusal.reason)), ": ", refusal.message));
     CallAnswer answer;
     answer.refusal = refusal;
     m_effects.answer(handle, answer);
@@ -81,8 +82,8 @@
 {
     if (m_confirming >= MaxConfirming) {
         refuse(request.handle,
-               makeRefusal(Verdict::NotRun, Reason::Overloaded,
-                           "too many calls with unknown keys", RetryAfterTrouble));
+               makeRefusal(Verdict::NotRun, Reason::Overloaded, "too many calls with unknown keys",
+                           RetryAfterTrouble));
         return;
     }
     m_confirming += 1;
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/** Settlements wait this long for a later turn; refusals for the budget count them at their most. */
+/** Settlements wait this long for a later turn; refusals for the budget count them at their most.
+ */
 constexpr Milliseconds SettlementDelay{400};
 /** Records kept for programs without changes under way; each is about 200 bytes. */
 constexpr std::size_t MaxIdlePrograms = 2'000;
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -73,9 +73,8 @@
     if (middle == Duration::zero() || !measured(replica, now)) {
         return 1;
     }
-    return std::max(1.0,
-                    static_cast<double>(speedOf(replica).count())
-                        / static_cast<double>(middle.count()));
+    return std::max(
+        1.0, static_cast<double>(speedOf(replica).count()) / static_cast<double>(middle.count()));
 }
 
 /** Requests under way at a replica, as far as this VM can tell. */
--- a/control/turn_archive.cpp
+++ b/control/turn_archive.cpp
@@ -77,21 +77,22 @@
     RowTransaction transaction;
     transaction.puts = turnRows(recording->turn, *recording->conversation);
     const std::size_t rows = transaction.puts.size();
-    m_store.transact(std::move(transaction), [this, recording, rows](const TransactionResult &result) {
-        if (result.answer != StoreAnswer::Done) {
-            // The same rows again: whether the first call took effect does not matter.
-            const Duration pause = storeRetryPause(recording->failures, m_random);
-            recording->failures += 1;
-            m_timers.after(pause, [this, recording] { write(recording); });
-            return;
-        }
-        m_pending -= 1;
-        keep(recording->turn, recording->conversation);
-        const SteadyTime expiry = m_clock.now() + recording->keepTime + ExpiryMargin;
-        m_expiries.push_back({expiry, recording->turn, rows});
-        recording->done();
-        dropExpired();
-    });
+    m_store.transact(
+        std::move(transaction), [this, recording, rows](const TransactionResult &result) {
+            if (result.answer != StoreAnswer::Done) {
+                // The same rows again: whether the first call took effect does not matter.
+                const Duration pause = storeRetryPause(recording->failures, m_random);
+                recording->failures += 1;
+                m_timers.after(pause, [this, recording] { write(recording); });
+                return;
+            }
+            m_pending -= 1;
+            keep(recording->turn, recording->conversation);
+            const SteadyTime expiry = m_clock.now() + recording->keepTime + ExpiryMargin;
+            m_expiries.push_back({expiry, recording->turn, rows});
+            recording->done();
+            dropExpired();
+        });
 }
 
 void TurnArchive::keep(const AttemptId &turn, const Conversation &conversation)
@@ -120,7 +121,7 @@
         RowTransaction transaction;
         transaction.removals = turnRowNames(m_expiries.front().turn, m_expiries.front().rows);
         m_expiries.pop_front();
-        m_store.transact(std::move(transaction), [](const TransactionResult &) { });
+        m_store.transact(std::move(transaction), [](const TransactionResult &) {});
     }
 }
 
--- a/main/boragepathd_platform.cpp
+++ b/main/boragepathd_platform.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr const char *Usage = R"(boragepathd-platform - the boragepath daemon of one VM on the users' platform
+constexpr const char *Usage =
+    R"(boragepathd-platform - the boragepath daemon of one VM on the users' platform
 
 Usage:
   boragepathd-platform [--metrics-port PORT] [--log-level LEVEL]
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -198,7 +198,7 @@
     for (const Endpoint &to : m_vms.receivers()) {
         sendNews(to, false);
     }
-    m_store.transact({{}, {}, {ownRow()}}, [](const TransactionResult &) { });
+    m_store.transact({{}, {}, {ownRow()}}, [](const TransactionResult &) {});
     finishStop();
 }
 
@@ -206,8 +206,8 @@
 {
     const Duration since = m_clock.now() - *m_stopBegan;
     m_ledger.flush();
-    const bool idle = m_front.requestsUnderWay() == 0 && m_ledger.pending() == 0
-        && m_turns.pending() == 0;
+    const bool idle =
+        m_front.requestsUnderWay() == 0 && m_ledger.pending() == 0 && m_turns.pending() == 0;
     if ((idle && since >= ShortestStop) || since >= m_settings.stopGrace - StopMargin) {
         LogLine("stopped")
             .add("calls", m_front.requestsUnderWay())
--- a/net/control_call.h
+++ b/net/control_call.h
@@ -28,11 +28,10 @@
         auto shared = std::make_shared<Handler>(std::move(handler));
         const auto executor = boost::asio::get_associated_executor(*shared);
         std::function<void(const Answer &)> answer = [shared, executor](const Answer &value) {
-            boost::asio::post(executor,
-                              [shared, value]() mutable { std::move (*shared)(value); });
+            boost::asio::post(executor, [shared, value]() mutable { std::move (*shared)(value); });
         };
-        boost::asio::post(control,
-                          [start = std::move(start), answer = std::move(answer)] { start(answer); });
+        boost::asio::post(
+            control, [start = std::move(start), answer = std::move(answer)] { start(answer); });
     };
     return boost::asio::async_initiate<const boost::asio::use_awaitable_t<> &, void(Answer)>(
         std::move(initiate), boost::asio::use_awaitable);
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,276 @@
+// The platform's settings, registrations, headers and rows, decoded once.
+
+#include "net/event_scanner.h"
+#include "platform/call_codec.h"
+#include "platform/registry_codec.h"
+#include "platform/settings_file.h"
+#include "platform/store_client.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <absl/strings/match.h>
+
+namespace boragepath::platform {
+
+namespace {
+
+const std::string GoodSettings = "node=front-1\nzone=fukuoka\nip=10.1.0.38\n"
+                                 "listen.front=10.1.0.38:8149\nlisten.ready=10.1.0.38:8141\n"
+                                 "listen.directory=10.1.0.38:8143\ninternalPorts=7380,7395\n"
+                                 "platform.addr=10.200.1.7:8142\nlimits.memoryMb=140\n"
+                                 "bounds.graceS=8\nsomething.new=1\n";
+
+const std::string GoodReplica =
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":24,)"
+    R"("state":"ready","coldLeftMs":0,"seq":4,"born":1700000000000})";
+
+std::string without(const std::string &text, const std::string &line)
+{
+    std::string result = text;
+    const std::size_t start = result.find(line);
+    return result.erase(start, result.find('\n', start) + 1 - start);
+}
+
+HttpRequest turnRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b?c=d";
+    request.fields = {
+        {"Host", "one.example:80"}, {"Attempt-Id", "id1"},    {"Deadline-Ms", "4000"},
+        {"Program-Id", "p1"},       {"Token-Budget", "4704"}, {"Token-Usage", "1840,588"},
+        {"Previous-Turn", "id0"},   {"X-Other", "kept"},      {"Connection", "keep-alive, X-Hop"},
+        {"X-Hop", "dropped"},       {"Kv-From", "dropped"},   {"Hold", "dropped"}};
+    return request;
+}
+
+} // namespace
+
+// --- Settings ----------------------------------------------------------------
+
+TEST(PlatformSettings, AreReadAndUnknownKeysLeftOut)
+{
+    const auto settings = parseNodeSettings(GoodSettings);
+    ASSERT_TRUE(settings.ok()) << settings.status().message();
+    EXPECT_EQ(settings->front.text(), "10.1.0.38:8149");
+    EXPECT_EQ(settings->peers.text(), "10.1.0.38:7380");
+    EXPECT_EQ(settings->stopGrace, Seconds(8));
+}
+
+TEST(PlatformSettings, AnErrorNamesItsKey)
+{
+    for (const std::string key :
+         {"node", "zone", "listen.front", "listen.ready", "listen.directory", "platform.addr"}) {
+        const auto missing = parseNodeSettings(without(GoodSettings, key + "="));
+        ASSERT_FALSE(missing.ok()) << key;
+        EXPECT_TRUE(absl::StartsWith(std::string(missing.status().message()), key));
+    }
+    const auto wrong = parseNodeSettings(GoodSettings + "bounds.graceS=soon\n");
+    ASSERT_FALSE(wrong.ok());
+    EXPECT_TRUE(absl::StrContains(std::string(wrong.status().message()), "bounds.graceS"));
+}
+
+RC_GTEST_PROP(PlatformSettingsProperty, NoTextBreaksTheReader, (const std::string &text))
+{
+    parseNodeSettings(text);
+}
+
+// --- Registrations -----------------------------------------------------------
+
+TEST(ReplicaCodec, AWholeRegistrationIsRead)
+{
+    const auto entry = decodeReplica(ReplicaId("i-1"), GoodReplica);
+    ASSERT_TRUE(entry.has_value());
+    EXPECT_EQ(entry->endpoint.text(), "10.0.0.9:8080");
+    EXPECT_EQ(entry->slots, 24);
+    EXPECT_EQ(entry->startedAtMillis, 1'700'000'000'000);
+    EXPECT_FALSE(entry->draining);
+}
+
+TEST(ReplicaCodec, RegistrationsOfOtherWritersNameNoReplica)
+{
+    const std::vector<std::pair<std::string, std::string>> changes = {
+        {R"("addr":"10.0.0.9:8080",)", ""},  {R"("10.0.0.9:8080")", "17"},
+        {R"("ready")", R"("resting")"},      {R"("slots":24)", R"("slots":"24")"},
+        {R"("seq":4)", R"("seq":"x")"},      {R"("born":1700000000000)", R"("born":1.5)"},
+        {R"("zone":"z")", R"("zone":null)"}, {R"({"service)", R"(["service)"},
+    };
+    for (const auto &[from, to] : changes) {
+        std::string text = GoodReplica;
+        text.replace(text.find(from), from.size(), to);
+        EXPECT_FALSE(decodeReplica(ReplicaId("i-1"), text).has_value()) << text;
+    }
+}
+
+TEST(ConfigurationCodec, RoutesServicesAndLimits)
+{
+    const auto table = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"one.example","prefix":"/a/",)"
+        R"("kind":"streaming","timeoutMs":4000,"targetLatencyMs":250,"priority":1,)"
+        R"("split":[{"service":"x","weight":90},{"service":"y","weight":10}],"maxAttempts":2,)"
+        R"("retainContext":true,"keepS":60.5,"sticky":true,"resumable":false}],)"
+        R"("services":[{"name":"x","maxConns":210,"engine":{"tokensPerEvent":20}}],)"
+        R"("limits":{"maxHeaderBytes":100,"idleTimeoutMs":15000},"unknown":1})");
+    ASSERT_NE(table, nullptr);
+    EXPECT_EQ(table->version, ConfigurationVersion(7));
+    const RoutePolicy &route = table->routes.at(0);
+    EXPECT_EQ(route.kind, RequestKind::Stream);
+    EXPECT_EQ(route.keepTime, Milliseconds(60'500));
+    EXPECT_EQ(route.services.size(), 2U);
+    EXPECT_EQ(table->services.at(PoolName("x")).tokensPerEvent, 20);
+    EXPECT_EQ(table->limits.maxHeaderBytes, 100);
+    EXPECT_EQ(decodeConfiguration("no json"), nullptr);
+}
+
+TEST(Routes, TheLongestPrefixOfTheHostWins)
+{
+    RouteTable table;
+    for (const char *prefix : {"/a/", "/a/b/", "/"}) {
+        RoutePolicy route;
+        route.host = "one.example";
+        route.prefix = prefix;
+        table.routes.push_back(route);
+    }
+    EXPECT_EQ(matchRoute(table, "one.example", "/a/b/c")->prefix, "/a/b/");
+    EXPECT_EQ(matchRoute(table, "ONE.example", "/a/bc")->prefix, "/a/");
+    EXPECT_EQ(matchRoute(table, "one.example", "/x")->prefix, "/");
+    EXPECT_EQ(matchRoute(table, "two.example", "/a/"), nullptr);
+}
+
+// --- Calls -------------------------------------------------------------------
+
+TEST(CallCodec, ATurnIsDecodedOnce)
+{
+    const DecodedCall decoded = decodeCall(turnRequest(), "input");
+    ASSERT_EQ(decoded.problem, "");
+    EXPECT_EQ(decoded.call.host, "one.example");
+    EXPECT_EQ(decoded.call.path, "/a/b");
+    EXPECT_EQ(decoded.call.patience, Milliseconds(4'000));
+    EXPECT_EQ(decoded.call.tokenBudget, 4'704);
+    EXPECT_EQ(decoded.call.mostTokens, 588);
+    EXPECT_EQ(decoded.call.previousTurn, AttemptId("id0"));
+    EXPECT_EQ(*decoded.call.input, "input");
+}
+
+TEST(CallCodec, RequestsWithoutOneIdOrOneHostAreNoCalls)
+{
+    for (const char *name : {"Attempt-Id", "Host"}) {
+        HttpRequest twice = turnRequest();
+        twice.fields.push_back({name, "another"});
+        EXPECT_NE(decodeCall(twice, "").problem, "") << name;
+        HttpRequest none = turnRequest();
+        std::erase_if(none.fields, [&](const HttpField &field) { return field.name == name; });
+        EXPECT_NE(decodeCall(none, "").problem, "") << name;
+    }
+}
+
+TEST(CallCodec, TheReplicaGetsTheRequestAsItWasSent)
+{
+    const ReplicaCodec codec = replicaCodec(turnRequest(), AttemptId("id1"));
+    ReplicaEntry replica;
+    replica.id = ReplicaId("i-1");
+    const std::string head = codec.requestHead(replica, Milliseconds(900), 5, 12);
+    EXPECT_EQ(head,
+              "POST /a/b?c=d HTTP/1.1\r\nHost: one.example:80\r\nAttempt-Id: id1\r\n"
+              "Program-Id: p1\r\nToken-Budget: 4704\r\nToken-Usage: 1840,588\r\n"
+              "Previous-Turn: id0\r\nX-Other: kept\r\nDeadline-Ms: 900\r\n"
+              "Expect-Replica: i-1\r\nLast-Event-Id: 12\r\nContent-Length: 5\r\n\r\n");
+}
+
+TEST(CallCodec, WhatAnAnswerSaysOfTheRun)
+{
+    const ReplicaCodec codec = replicaCodec(turnRequest(), AttemptId("id1"));
+    const auto read = [&](unsigned status, std::vector<HttpField> fields) {
+        HttpResponse response;
+        response.status = status;
+        response.fields = std::move(fields);
+        return codec.readHead(response);
+    };
+    EXPECT_TRUE(read(200, {{"Attempt-Id", "id1"}, {"Replica-Seal", "s"}}).vouched);
+    EXPECT_FALSE(read(200, {{"Attempt-Id", "id1"}}).vouched);
+    EXPECT_FALSE(read(200, {{"Attempt-Id", "id2"}, {"Replica-Seal", "s"}}).answersCall);
+    EXPECT_TRUE(read(503, {{"Not-Executed", "1"}}).notRun);
+    EXPECT_FALSE(read(503, {{"Attempt-Id", "id1"}}).notRun);
+    EXPECT_TRUE(read(421, {}).otherReplica);
+    EXPECT_TRUE(read(200, {{"Content-Encoding", "gzip"}}).encoded);
+    const auto load = read(200, {{"Replica-Load", "3,1,8"}}).load;
+    ASSERT_TRUE(load.has_value());
+    EXPECT_EQ(load->waiting, 1);
+}
+
+TEST(CallCodec, RefusalsSayWhenToComeBack)
+{
+    const auto fields = refusalFields({CallRefusalReason::StoreAway, Milliseconds(1'500)}, "id1");
+    ASSERT_EQ(fields.size(), 2U);
+    EXPECT_EQ(fields[1].value, "1.500");
+    EXPECT_EQ(statusOf(CallRefusalReason::BudgetSpent), 402U);
+    EXPECT_EQ(statusOf(CallRefusalReason::UnknownTurn), 404U);
+    EXPECT_EQ(statusOf(CallRefusalReason::NoConfiguration), 503U);
+}
+
+// --- The store ---------------------------------------------------------------
+
+TEST(StoreCodec, ATransactionIsEncoded)
+{
+    RowTransaction transaction;
+    transaction.conditions.push_back({{"my", "p7", "owner"}, RowRevision(0)});
+    transaction.puts.push_back({{"my", "p7", "owner"}, "node-1"});
+    EXPECT_EQ(
+        encodeTransaction(transaction),
+        R"({"expected":[{"table":"my","part":"p7","key":"owner","ver":0}],)"
+        R"("puts":[{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x"}],"remove":[]})");
+}
+
+TEST(StoreCodec, RowsAreDecoded)
+{
+    RowRevision version;
+    bool more = false;
+    const auto rows = decodeRows(
+        R"({"rows":[{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x","ver":412},)"
+        R"({"table":"my","part":"","key":"gone","ver":413,"deleted":true}],)"
+        R"("morePages":true,"ver":530,"nowMs":51230})",
+        version, more);
+    ASSERT_TRUE(rows.has_value());
+    EXPECT_EQ(rows->at(0).value, "node-1");
+    EXPECT_TRUE(rows->at(1).removed);
+    EXPECT_EQ(version, RowRevision(530));
+    EXPECT_TRUE(more);
+    EXPECT_FALSE(decodeRows("<html>", version, more).has_value());
+}
+
+// --- Events ------------------------------------------------------------------
+
+RC_GTEST_PROP(EventScannerProperty, EventsDoNotDependOnHowTheBytesArrive, (std::uint32_t seed))
+{
+    std::mt19937 random(seed);
+    std::string text;
+    std::vector<std::string> expected;
+    for (int event = 0; event < 8; ++event) {
+        const std::string data(random() % 50, 'x');
+        expected.push_back(data);
+        text += "id: " + std::to_string(event) + "\ndata: " + data + "\n\n";
+    }
+    const std::string cutOff = "id: 8\ndata: cut o";
+    text += cutOff;
+    EventScanner scanner;
+    std::vector<std::string> found;
+    std::string joined;
+    for (std::size_t start = 0; start < text.size();) {
+        const std::size_t size = 1 + random() % 40;
+        scanner.add(text.substr(start, size));
+        start += size;
+        while (const auto event = scanner.next()) {
+            RC_ASSERT(event->id == static_cast<std::int64_t>(found.size()));
+            found.push_back(event->data);
+            joined += event->text;
+        }
+    }
+    RC_ASSERT(found == expected);
+    RC_ASSERT(joined + cutOff == text);
+    RC_ASSERT(scanner.midEvent());
+}
+
+} // namespace boragepath::platform
