Log to standard output without waiting, bounded per event

Cause: lines went through a blocking stream, and nothing bounded their number. Change: easylogging++ hands lines to a sink that drops what the reader has no room for; each event has a bucket of lines, and what is left out is counted on the next line. Tests: LogRate, WriteWithoutWaiting.

--- /dev/null
+++ b/core/log_sink.cpp
@@ -0,0 +1,50 @@
+#include "core/log_sink.h"
+
+#include <algorithm>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace boragepath {
+
+namespace {
+
+/** Per event; a VM serves a few dozen calls a second. */
+constexpr double LinesPerSecond = 200;
+constexpr double MostAtOnce = 400;
+/** A pipe takes this much in one piece or not at all. */
+constexpr std::size_t MaxLineBytes = 4'096;
+
+} // namespace
+
+std::optional<std::uint64_t> LogRate::admit(std::string_view event, Time now)
+{
+    auto found = m_buckets.find(event);
+    if (found == m_buckets.end()) {
+        found = m_buckets.emplace(std::string(event), Bucket{MostAtOnce, now, 0}).first;
+    }
+    Bucket &bucket = found->second;
+    const std::chrono::duration<double> since = now - bucket.filledAt;
+    bucket.lines = std::min(MostAtOnce, bucket.lines + since.count() * LinesPerSecond);
+    bucket.filledAt = now;
+    if (bucket.lines < 1) {
+        bucket.leftOut += 1;
+        return std::nullopt;
+    }
+    bucket.lines -= 1;
+    const std::uint64_t leftOut = bucket.leftOut;
+    bucket.leftOut = 0;
+    return leftOut;
+}
+
+bool writeWithoutWaiting(int descriptor, const std::string &line)
+{
+    pollfd ready{descriptor, POLLOUT, 0};
+    if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+        return false;
+    }
+    const std::size_t size = std::min(line.size(), MaxLineBytes);
+    return write(descriptor, line.data(), size) == static_cast<ssize_t>(size);
+}
+
+} // namespace boragepath
--- a/core/logging.cpp
+++ b/core/logging.cpp
@@ -1,8 +1,14 @@
 #include "core/logging.h"
 
+#include "core/log_sink.h"
+
 #include <boost/json.hpp>
 #include <easylogging++.h>
 
+#include <unistd.h>
+
+#include <mutex>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace boragepath {
@@ -30,6 +36,29 @@
     return names;
 }
 
+/** Where lines go: standard output, and never a wait for its reader. */
+class StandardOutput final : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) noexcept override
+    {
+        const el::LogMessage *message = data->logMessage();
+        writeWithoutWaiting(STDOUT_FILENO, message->logger()->logBuilder()->build(message, true));
+    }
+};
+
+struct SharedRate
+{
+    std::mutex mutex;
+    LogRate rate;
+};
+
+SharedRate &sharedRate()
+{
+    static SharedRate rate;
+    return rate;
+}
+
 } // namespace
 
 bool setLogLevel(const std::string &level)
@@ -57,6 +86,9 @@
 void startLog(const std::string &level)
 {
     el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<StandardOutput>("StandardOutput");
     if (!setLogLevel(level)) {
         setLogLevel("info");
     }
@@ -68,7 +100,8 @@
 }
 
 LogLine::LogLine(std::string_view event)
-    : m_text("\"event\":" + quoted(std::string(event)))
+    : m_event(event)
+    , m_text("\"event\":" + quoted(std::string(event)))
 {
     if (!source().empty()) {
         add("vm", source());
@@ -87,19 +120,36 @@
     return *this;
 }
 
-void LogLine::info() const
+bool LogLine::admit()
 {
-    LOG(INFO) << m_text;
+    SharedRate &shared = sharedRate();
+    const std::lock_guard<std::mutex> lock(shared.mutex);
+    const auto leftOut = shared.rate.admit(m_event, std::chrono::steady_clock::now());
+    if (leftOut.value_or(0) > 0) {
+        add("left_out", static_cast<std::int64_t>(*leftOut));
+    }
+    return leftOut.has_value();
 }
 
-void LogLine::warning() const
+void LogLine::info()
 {
-    LOG(WARNING) << m_text;
+    if (admit()) {
+        LOG(INFO) << m_text;
+    }
 }
 
-void LogLine::error() const
+void LogLine::warning()
 {
-    LOG(ERROR) << m_text;
+    if (admit()) {
+        LOG(WARNING) << m_text;
+    }
+}
+
+void LogLine::error()
+{
+    if (admit()) {
+        LOG(ERROR) << m_text;
+    }
 }
 
 } // namespace boragepath
--- a/core/logging.h
+++ b/core/logging.h
@@ -5,7 +5,12 @@
 
 namespace boragepath {
 
-/** Sets up the log of this process: one JSON object a line, on standard error. */
+/**
+ * Sets up the log of this process: one JSON object a line, on standard output.
+ *
+ * Writing never waits: lines that the reader has no room for are dropped, and
+ * lines of one event beyond a rate are left out and counted on the next one.
+ */
 void startLog(const std::string &level);
 
 /** Changes the level at run time; false if there is no such level. */
@@ -25,11 +30,14 @@
     LogLine &add(std::string_view field, const std::string &value);
     LogLine &add(std::string_view field, std::int64_t value);
 
-    void info() const;
-    void warning() const;
-    void error() const;
+    void info();
+    void warning();
+    void error();
 
 private:
+    bool admit();
+
+    std::string m_event;
     std::string m_text;
 };
 
--- /dev/null
+++ b/tests/core/log_sink_test.cpp
@@ -0,0 +1,45 @@
+// The log's bounds: volume per event, and never a wait.
+
+#include "core/log_sink.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace boragepath {
+
+TEST(LogRate, AFloodOfOneEventLeavesTheOthersAlone)
+{
+    LogRate rate;
+    const LogRate::Time start{};
+    int written = 0;
+    for (int line = 0; line < 10'000; ++line) {
+        written += rate.admit("call", start).has_value() ? 1 : 0;
+    }
+    EXPECT_EQ(written, 400);
+    EXPECT_EQ(rate.admit("stopped", start), 0U);
+    {
+        SCOPED_TRACE("the next line says how many are missing");
+        EXPECT_EQ(rate.admit("call", start + std::chrono::seconds(1)), 9'600U);
+        EXPECT_EQ(rate.admit("call", start + std::chrono::seconds(1)), 0U);
+    }
+}
+
+TEST(WriteWithoutWaiting, AFullPipeDropsTheLine)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(pipe(ends.data()), 0);
+    int lines = 0;
+    while (writeWithoutWaiting(ends[1], std::string(1'000, 'x')) && lines < 100'000) {
+        lines += 1;
+    }
+    EXPECT_GT(lines, 0);
+    EXPECT_LT(lines, 100'000);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+} // namespace boragepath
