Void another VM's reservation when this one makes its own; settle the registry in time

Cause 2: a reservation given back before it arrived late stayed for good. Ruled out: the interval of readings alone. Settlements no longer leave alone right after another transaction. Tests: LedgerRelay and RegistryReader suites; 1,000 cases of each property.

--- a/control/ledger_relay.cpp
+++ b/control/ledger_relay.cpp
@@ -21,6 +21,12 @@
     return note;
 }
 
+/** The name of a reservation that this VM makes itself for a turn that another was asked about. */
+AttemptId ownNameOf(const AttemptId &turn)
+{
+    return AttemptId(turn.value() + "/own");
+}
+
 peers::LedgerOutcome::type outcomeOf(Reservation reservation)
 {
     switch (reservation) {
@@ -80,12 +86,17 @@
     }
     m_fallbacks += 1;
     Question &question = found.mapped();
-    const TurnClaim claim = question.claim;
+    const AttemptId turn = question.claim.turn;
+    TurnClaim claim = question.claim;
+    claim.turn = ownNameOf(turn);
+    claim.replaces = turn;
     m_ledger.reserve(claim, question.deadline,
-                     [this, claim, done = std::move(question.done)](Reservation reservation) {
-                         if (reservation == Reservation::StoreAway) {
+                     [this, claim, turn, done = std::move(question.done)](Reservation reservation) {
+                         if (reservation == Reservation::Granted) {
+                             m_ownReservations.insert(turn);
+                         } else {
                              // The other VM may still reserve for a turn that is refused here.
-                             settle({claim.program, claim.turn, 0});
+                             m_ledger.settle({claim.program, turn, 0});
                          }
                          done(reservation);
                      });
@@ -93,6 +104,10 @@
 
 void LedgerRelay::settle(const TurnSettlement &settlement)
 {
+    if (m_ownReservations.erase(settlement.turn) > 0) {
+        m_ledger.settle({settlement.program, ownNameOf(settlement.turn), settlement.tokens});
+        return;
+    }
     const std::optional<Endpoint> meeting = m_vms.meetingPoint(settlement.program.value());
     if (!meeting.has_value()) {
         m_ledger.settle(settlement);
--- a/control/ledger_relay.h
+++ b/control/ledger_relay.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 
 namespace boragepath {
 
@@ -58,6 +59,8 @@
     Send m_send;
     std::map<std::int64_t, Question> m_questions;
     std::map<std::int64_t, TurnSettlement> m_settlements;
+    /** Turns whose reservation this VM made itself after the other one did not answer. */
+    std::set<AttemptId> m_ownReservations;
     std::int64_t m_nextId = 1;
     std::uint64_t m_relayed = 0;
     std::uint64_t m_fallbacks = 0;
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include "control/store_retry.h"
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -18,19 +19,6 @@
 constexpr std::size_t MaxPending = 4'000;
 constexpr std::size_t MaxChangesAtOnce = 32;
 
-/** Applies a change that the row shows as not done yet; false if the budget forbids it. */
-bool applyReservation(ProgramRecord &record, const TurnClaim &claim)
-{
-    if (record.reserved.contains(claim.turn)) {
-        return true;
-    }
-    if (committedTokens(record) + claim.most > claim.budget) {
-        return false;
-    }
-    record.reserved[claim.turn] = claim.most;
-    return true;
-}
-
 } // namespace
 
 ProgramLedger::ProgramLedger(const Clock &clock, Timers &timers, RowStore &store,
@@ -69,22 +57,30 @@
     change.settles = true;
     change.settlement = settlement;
     change.deadline = SteadyTime::max();
+    change.queuedAt = m_clock.now();
     Program &program = m_programs[settlement.program];
-    if (!program.busy) {
-        program.fresh = false;
-    }
     program.queue.push_back(std::move(change));
     m_pending += 1;
-    if (program.busy || program.flushPlanned) {
+    if (!program.busy) {
+        planFlush(settlement.program, program);
+    }
+}
+
+/** Sends settlements that no later turn has taken along in time. */
+void ProgramLedger::planFlush(const ProgramId &id, Program &program)
+{
+    if (program.flushPlanned || program.queue.empty()) {
         return;
     }
     program.flushPlanned = true;
-    m_timers.after(SettlementDelay, [this, id = settlement.program] {
+    const SteadyTime due = program.queue.front().queuedAt + SettlementDelay;
+    m_timers.after(due - m_clock.now(), [this, id] {
         const auto found = m_programs.find(id);
-        if (found != m_programs.end()) {
-            found->second.flushPlanned = false;
-            pump(id);
+        if (found == m_programs.end()) {
+            return;
         }
+        found->second.flushPlanned = false;
+        pump(id);
     });
 }
 
@@ -97,11 +93,16 @@
         }
     }
     for (const ProgramId &id : waiting) {
-        pump(id);
+        pump(id, true);
     }
 }
 
-void ProgramLedger::pump(const ProgramId &id)
+bool ProgramLedger::isUrgent(const Change &change) const
+{
+    return !change.settles || m_clock.now() >= change.queuedAt + SettlementDelay;
+}
+
+void ProgramLedger::pump(const ProgramId &id, bool withoutWaiting)
 {
     Program &program = m_programs[id];
     program.lastUse = m_clock.now();
@@ -116,6 +117,14 @@
         forgetIdle();
         return;
     }
+    const bool urgent = withoutWaiting
+        || std::any_of(program.queue.begin(), program.queue.end(),
+                       [this](const Change &change) { return isUrgent(change); });
+    if (!urgent) {
+        program.busy = false;
+        planFlush(id, program);
+        return;
+    }
     send(id, program);
 }
 
@@ -151,6 +160,34 @@
     }
 }
 
+/** Applies @p change to @p record, which holds the changes before it, if it is to be written. */
+ProgramLedger::Fate ProgramLedger::apply(const Change &change, const Program &program,
+                                         ProgramRecord &record)
+{
+    const AttemptId &turn = change.settles ? change.settlement.turn : change.claim.turn;
+    if (isSettled(record, turn)) {
+        return Fate::Done;
+    }
+    if (change.settles) {
+        // Written even where no reservation stands: one that comes late fails on the version.
+        settleTurn(record, turn, change.settlement.tokens);
+        return Fate::Written;
+    }
+    if (program.record.reserved.contains(turn)) {
+        return Fate::Done;
+    }
+    ProgramRecord changed = record;
+    const AttemptId &replaced = change.claim.replaces;
+    if (!replaced.value().empty() && !isSettled(changed, replaced)) {
+        settleTurn(changed, replaced, 0);
+    }
+    if (reserveTurn(changed, turn, change.claim.most, change.claim.budget)) {
+        record = std::move(changed);
+        return Fate::Written;
+    }
+    return program.fresh ? Fate::Refused : Fate::Unclear;
+}
+
 void ProgramLedger::send(const ProgramId &id, Program &program)
 {
     ProgramRecord record = program.record;
@@ -159,26 +196,14 @@
     std::list<Change> done;
     std::list<Change> refused;
     while (!program.queue.empty() && sent.size() < MaxChangesAtOnce) {
-        Change &change = program.queue.front();
-        std::list<Change> *goesTo = &sent;
-        if (change.settles && !record.reserved.contains(change.settlement.turn)) {
-            if (!program.fresh) {
-                break;
-            }
-            // Settled before, by a call without an answer or by another VM.
-            goesTo = &done;
-        } else if (change.settles) {
-            record.spent += change.settlement.tokens;
-            record.reserved.erase(change.settlement.turn);
-        } else if (program.known && program.record.reserved.contains(change.claim.turn)) {
-            goesTo = &done;
-        } else if (!applyReservation(record, change.claim)) {
-            if (!program.fresh) {
-                break;
-            }
-            goesTo = &refused;
+        const Fate fate = apply(program.queue.front(), program, record);
+        if (fate == Fate::Unclear) {
+            break;
         }
-        goesTo->splice(goesTo->end(), program.queue, program.queue.begin());
+        std::list<Change> &goesTo = fate == Fate::Written ? sent
+            : fate == Fate::Done                          ? done
+                                                          : refused;
+        goesTo.splice(goesTo.end(), program.queue, program.queue.begin());
     }
     const bool mustRead = sent.empty() && done.empty() && refused.empty();
     for (Change &change : done) {
@@ -212,7 +237,6 @@
     if (result.answer == StoreAnswer::Done) {
         program.record = record;
         program.version = result.version;
-        program.known = true;
         program.fresh = true;
         program.failures = 0;
         program.busy = false;
@@ -239,7 +263,6 @@
 
 void ProgramLedger::adopt(Program &program, const std::vector<StoreRow> &rows, const ProgramId &id)
 {
-    program.known = true;
     program.fresh = true;
     program.record = {};
     program.version = RowRevision(0);
@@ -291,7 +314,6 @@
     dropOverdue(program);
     if (program.queue.empty()) {
         program.busy = false;
-        program.known = false;
         return;
     }
     pauseThenPump(id, true);
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -29,6 +29,8 @@
     std::int64_t budget = 0;
     /** The most that this turn hands out. */
     std::int64_t most = 0;
+    /** An earlier reservation for the same turn that must not count any more, or empty. */
+    AttemptId replaces;
 };
 
 /** What one turn handed out. */
@@ -73,6 +75,7 @@
         bool settles = false;
         TurnSettlement settlement;
         SteadyTime deadline;
+        SteadyTime queuedAt;
         /** A transaction with it went unanswered. */
         bool mayBeDone = false;
         std::function<void(Reservation)> reserved;
@@ -81,8 +84,6 @@
     {
         ProgramRecord record;
         RowRevision version;
-        /** The record was read from the store, or written there, by this VM. */
-        bool known = false;
         /** No change by another VM can have been missed since the reading. */
         bool fresh = false;
         bool busy = false;
@@ -93,7 +94,19 @@
         SteadyTime lastUse;
     };
 
-    void pump(const ProgramId &id);
+    /** What becomes of a change, by the program's record as this VM knows it. */
+    enum class Fate {
+        Written, ///< It goes into the next transaction.
+        Done, ///< The row shows that it took effect before.
+        Refused, ///< The budget does not cover it.
+        Unclear, ///< The row must be read first.
+    };
+
+    static Fate apply(const Change &change, const Program &program, ProgramRecord &record);
+    /** True if a change must not wait for a later turn to go with. */
+    bool isUrgent(const Change &change) const;
+    void pump(const ProgramId &id, bool withoutWaiting = false);
+    void planFlush(const ProgramId &id, Program &program);
     void dropOverdue(Program &program);
     void send(const ProgramId &id, Program &program);
     void onTransaction(const ProgramId &id, std::list<Change> sent, const ProgramRecord &record,
--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -3,6 +3,8 @@
 #include "control/turn_rows.h"
 #include "core/json_access.h"
 
+#include <algorithm>
+
 namespace boragepath {
 
 namespace json = boost::json;
@@ -10,9 +12,37 @@
 namespace {
 
 constexpr const char *ProgramTable = "programs";
+/** Turns of one program that end within the time that a change may be late. */
+constexpr std::size_t MaxSettled = 12;
 
 } // namespace
 
+bool isSettled(const ProgramRecord &record, const AttemptId &turn)
+{
+    return std::find(record.settled.begin(), record.settled.end(), turn) != record.settled.end();
+}
+
+bool reserveTurn(ProgramRecord &record, const AttemptId &turn, std::int64_t most,
+                 std::int64_t budget)
+{
+    if (committedTokens(record) + most > budget) {
+        return false;
+    }
+    record.reserved[turn] = most;
+    return true;
+}
+
+void settleTurn(ProgramRecord &record, const AttemptId &turn, std::int64_t tokens)
+{
+    if (record.reserved.erase(turn) > 0) {
+        record.spent += tokens;
+    }
+    record.settled.push_back(turn);
+    if (record.settled.size() > MaxSettled) {
+        record.settled.erase(record.settled.begin());
+    }
+}
+
 std::int64_t committedTokens(const ProgramRecord &record)
 {
     std::int64_t total = record.spent;
@@ -28,7 +58,12 @@
     for (const auto &[turn, most] : record.reserved) {
         reserved[turn.value()] = most;
     }
-    return json::serialize(json::object{{"spent", record.spent}, {"reserved", reserved}});
+    json::array settled;
+    for (const AttemptId &turn : record.settled) {
+        settled.push_back(json::value(turn.value()));
+    }
+    return json::serialize(
+        json::object{{"spent", record.spent}, {"reserved", reserved}, {"settled", settled}});
 }
 
 std::optional<ProgramRecord> decodeProgramRecord(const std::string &text)
@@ -52,6 +87,12 @@
         }
         record.reserved[AttemptId(std::string(item.key()))] = item.value().get_int64();
     }
+    for (const json::value &turn : arrayAt(object, "settled")) {
+        if (!turn.is_string()) {
+            return std::nullopt;
+        }
+        record.settled.emplace_back(std::string(turn.get_string()));
+    }
     return record;
 }
 
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace boragepath {
 
@@ -17,10 +18,22 @@
     std::int64_t spent = 0;
     /** The most that each turn under way may still hand out. */
     std::map<AttemptId, std::int64_t> reserved;
+    /**
+     * Turns settled last, oldest first: a reservation or settlement that is made
+     * again, or arrives late, is recognized by them.
+     */
+    std::vector<AttemptId> settled;
 
     friend bool operator==(const ProgramRecord &, const ProgramRecord &) = default;
 };
 
+/** Reserves for a turn; false if the budget does not cover it. */
+bool reserveTurn(ProgramRecord &record, const AttemptId &turn, std::int64_t most,
+                 std::int64_t budget);
+/** Replaces a turn's reservation by what it handed out. */
+void settleTurn(ProgramRecord &record, const AttemptId &turn, std::int64_t tokens);
+/** True if the turn is among those settled last. */
+bool isSettled(const ProgramRecord &record, const AttemptId &turn);
 /** Spent and reserved tokens together. */
 std::int64_t committedTokens(const ProgramRecord &record);
 
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/** Replicas that reach the store are back in the registry within two seconds of its return. */
-constexpr Milliseconds SettlingTime{2'200};
 /** A measurement older than this says nothing of a replica's speed. */
 constexpr Milliseconds MeasurementAge{5'000};
 /** A reported load counts for this long; replicas serve many requests meanwhile. */
@@ -99,7 +97,7 @@
     : m_clock(clock)
 { }
 
-void ReplicaTable::replaceAll(const std::vector<ReplicaEntry> &entries, bool settling)
+void ReplicaTable::replaceAll(const std::vector<ReplicaEntry> &entries, SteadyTime settledAt)
 {
     std::set<ReplicaId> present;
     for (const ReplicaEntry &entry : entries) {
@@ -113,7 +111,7 @@
         }
     }
     for (const ReplicaId &id : missing) {
-        remove(id, settling);
+        remove(id, settledAt);
     }
 }
 
@@ -128,30 +126,27 @@
         replica.ownRequests = ownRequests;
     }
     replica.entry = entry;
-    replica.missingSince.reset();
+    replica.missingUntil.reset();
 }
 
-void ReplicaTable::remove(const ReplicaId &id, bool settling)
+void ReplicaTable::remove(const ReplicaId &id, SteadyTime settledAt)
 {
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end()) {
         return;
     }
-    if (!settling) {
+    if (m_clock.now() >= settledAt) {
         m_replicas.erase(found);
         return;
     }
-    if (!found->second.missingSince.has_value()) {
-        found->second.missingSince = m_clock.now();
-    }
+    found->second.missingUntil = settledAt;
 }
 
 std::vector<ReplicaId> ReplicaTable::expireMissing()
 {
     std::vector<ReplicaId> gone;
     for (const auto &[id, replica] : m_replicas) {
-        if (replica.missingSince.has_value()
-            && m_clock.now() >= *replica.missingSince + SettlingTime) {
+        if (replica.missingUntil.has_value() && m_clock.now() >= *replica.missingUntil) {
             gone.push_back(id);
         }
     }
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -71,8 +71,8 @@
     /** Failures in a row, and until when they keep it out. */
     int failures = 0;
     SteadyTime avoidedUntil;
-    /** Missing from the registry since a reading that cannot be trusted yet. */
-    std::optional<SteadyTime> missingSince;
+    /** Missing from the registry, which may not be complete again before this time. */
+    std::optional<SteadyTime> missingUntil;
 };
 
 /** What a request asks of its replica. */
@@ -92,19 +92,20 @@
  * The backend servers in force and what answers have shown of them.
  *
  * A row may vanish because the registry was away, not because the replica is
- * gone: after an outage a missing replica is kept for the settling time.
+ * gone: after an outage a missing replica is kept until the registry has settled.
  */
 class ReplicaTable
 {
 public:
     explicit ReplicaTable(const Clock &clock);
 
-    /** Takes over a whole reading; @p settling if the registry has just come back. */
-    void replaceAll(const std::vector<ReplicaEntry> &entries, bool settling);
+    /** Takes over a whole reading; missing replicas are kept until the registry has settled. */
+    void replaceAll(const std::vector<ReplicaEntry> &entries, SteadyTime settledAt);
     /** Takes over one changed row. */
     void put(const ReplicaEntry &entry);
-    void remove(const ReplicaId &id, bool settling);
-    /** Drops replicas whose settling time is over; gives their ids. */
+    /** Takes a replica out, but not before @p settledAt. */
+    void remove(const ReplicaId &id, SteadyTime settledAt);
+    /** Drops replicas that are still missing though the registry has settled; gives their ids. */
     std::vector<ReplicaId> expireMissing();
 
     void begin(const ReplicaId &id);
--- a/control/route_table.h
+++ b/control/route_table.h
@@ -68,8 +68,8 @@
 /** What a caller may send, and how long it may take or stay idle. */
 struct CallerLimits
 {
-    std::int64_t maxHeaderBytes = 16 * 1024;
-    std::int64_t maxBodyBytes = 4LL * 1024 * 1024;
+    std::int64_t maxHeaderBytes = 16'384;
+    std::int64_t maxBodyBytes = 4'194'304;
     Milliseconds headerTimeout{3'000};
     Milliseconds idleTimeout{15'000};
 };
--- a/control/store_health.cpp
+++ b/control/store_health.cpp
@@ -9,10 +9,6 @@
 
 } // namespace
 
-StoreHealth::StoreHealth(const Clock &clock)
-    : m_clock(clock)
-{ }
-
 bool StoreHealth::noteAnswer()
 {
     m_failuresInRow = 0;
@@ -20,7 +16,6 @@
         return false;
     }
     m_away = false;
-    m_returnedAt = m_clock.now();
     return true;
 }
 
@@ -34,9 +29,4 @@
     return true;
 }
 
-bool StoreHealth::returnedWithin(Duration span) const
-{
-    return m_returnedAt != SteadyTime() && m_clock.now() < m_returnedAt + span;
-}
-
 } // namespace boragepath
--- a/control/store_health.h
+++ b/control/store_health.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "core/clock.h"
-
 namespace boragepath {
 
 /**
@@ -13,21 +11,15 @@
 class StoreHealth
 {
 public:
-    explicit StoreHealth(const Clock &clock);
-
     /** A call was answered; true if the store was away until now. */
     bool noteAnswer();
     /** A call was refused or not answered; true if the store counts as away from now on. */
     bool noteFailure();
     bool away() const { return m_away; }
-    /** True within @p span after the store's return. */
-    bool returnedWithin(Duration span) const;
 
 private:
-    const Clock &m_clock;
     int m_failuresInRow = 0;
     bool m_away = false;
-    SteadyTime m_returnedAt;
 };
 
 } // namespace boragepath
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -30,7 +30,7 @@
 constexpr Milliseconds StopMargin{900};
 /** Conversations in memory may take this part of the VM's: a few hundred that go on here. */
 constexpr std::int64_t ConversationMemoryPart = 64;
-constexpr std::int64_t BytesPerMegabyte = 1024 * 1024;
+constexpr std::int64_t BytesPerMegabyte = 1'048'576;
 constexpr unsigned Unavailable = 503;
 constexpr unsigned NotFound = 404;
 
@@ -108,20 +108,17 @@
     , m_signals(m_control, SIGTERM, SIGINT, SIGHUP)
     , m_timers(m_control)
     , m_trafficTimers(m_traffic)
-    , m_health(m_clock)
     , m_store(m_control, m_settings.store, m_health)
     , m_replicas(m_clock)
     , m_ledger(m_clock, m_timers, m_store, m_health, seed)
     , m_turns(m_clock, m_timers, m_store, m_health, conversationBytes(m_settings), seed)
     , m_vms(m_clock, selfEntry(m_settings, m_clock), seed)
-    , m_ledgerRelay(m_clock, m_timers, m_ledger, m_vms,
-                    [this](const Endpoint &to, const peers::LedgerNote &note) {
-                        sendLedgerNote(to, note);
-                    })
-    , m_scheduler(
-          {m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_vms, m_settings.zone})
+    , m_ledgerRelay(
+          m_clock, m_timers, m_ledger, m_vms,
+          [this](const Endpoint &to, const peers::LedgerNote &note) { sendLedgerNote(to, note); })
+    , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_vms, m_settings.zone})
     , m_registry(
-          m_clock, m_timers, m_store, m_health, m_replicas,
+          m_clock, m_timers, m_store, m_replicas,
           [this](std::shared_ptr<const RouteTable> table) { useRoutes(std::move(table)); }, seed)
     , m_peers(m_control, m_settings.peers, m_settings.store.text(),
               [this](const peers::Envelope &envelope) { hear(envelope); })
--- a/tests/control/placement_test.cpp
+++ b/tests/control/placement_test.cpp
@@ -145,23 +145,25 @@
 
 TEST_F(PlacementTest, ReplicasThatVanishedWithTheStoreAreKeptForTwoSeconds)
 {
-    m_table.remove(ReplicaId("r1"), true);
+    const SteadyTime settledAt = m_clock.now() + Seconds(2);
     {
         SCOPED_TRACE("back in time: nothing has happened");
+        m_table.remove(ReplicaId("r1"), settledAt);
         m_clock.advance(Seconds(1));
         m_table.put(replica("r1"));
-        m_clock.advance(Seconds(3));
+        m_clock.advance(Seconds(2));
         EXPECT_TRUE(m_table.expireMissing().empty());
     }
     {
-        SCOPED_TRACE("still missing after that: gone");
-        m_table.remove(ReplicaId("r1"), true);
-        m_clock.advance(Seconds(3));
+        SCOPED_TRACE("still missing when the registry has settled: gone");
+        m_table.remove(ReplicaId("r1"), m_clock.now() + Milliseconds(500));
+        EXPECT_NE(m_table.find(ReplicaId("r1")), nullptr);
+        m_clock.advance(Milliseconds(500));
         EXPECT_EQ(m_table.expireMissing(), std::vector<ReplicaId>{ReplicaId("r1")});
     }
     {
         SCOPED_TRACE("removed while the store is well: gone at once");
-        m_table.remove(ReplicaId("r2"), false);
+        m_table.remove(ReplicaId("r2"), settledAt);
         EXPECT_EQ(m_table.find(ReplicaId("r2")), nullptr);
     }
 }
--- a/tests/control/program_ledger_test.cpp
+++ b/tests/control/program_ledger_test.cpp
@@ -26,7 +26,7 @@
         , store(timers, seed)
     {
         for (std::size_t vm = 0; vm < vms; ++vm) {
-            healths.push_back(std::make_unique<StoreHealth>(clock));
+            healths.push_back(std::make_unique<StoreHealth>());
             ledgers.push_back(
                 std::make_unique<ProgramLedger>(clock, timers, store, *healths.back(), seed + vm));
         }
@@ -197,6 +197,7 @@
     record.spent = spent;
     for (const auto &[turn, most] : reserved) {
         record.reserved[AttemptId(absl::StrCat("turn-", turn))] = most;
+        record.settled.emplace_back(absl::StrCat("ended-", turn));
     }
     RC_ASSERT(decodeProgramRecord(encodeProgramRecord(record)) == record);
 }
--- /dev/null
+++ b/tests/platform/registry_reader_test.cpp
@@ -0,0 +1,107 @@
+// The registry as one VM sees it, through outages, lost history and silence.
+
+#include "platform/registry_reader.h"
+#include "tests/support/memory_row_store.h"
+
+#include <gtest/gtest.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace boragepath::platform {
+
+namespace {
+
+RowName replicaRow(const std::string &id)
+{
+    return {"servers", "", id};
+}
+
+std::string registration(const std::string &state, int sequence)
+{
+    return absl::StrCat(R"({"service":"s","addr":"10.0.0.9:80","zone":"z","slots":4,"state":")",
+                        state, R"(","seq":)", sequence, "}");
+}
+
+class RegistryReaderTest : public testing::Test
+{
+protected:
+    RegistryReaderTest()
+        : m_timers(m_clock)
+        , m_store(m_timers, 1)
+        , m_replicas(m_clock)
+        , m_reader(
+              m_clock, m_timers, m_store, m_replicas,
+              [this](std::shared_ptr<const RouteTable> table) { m_version = table->version; }, 1)
+    {
+        m_store.put({"op", "", "config"}, R"({"version":3})");
+        m_store.put(replicaRow("a"), registration("ready", 1));
+        m_store.put(replicaRow("b"), registration("ready", 1));
+        m_reader.start();
+        m_timers.run(Seconds(3));
+    }
+
+    bool usable(const std::string &id) const
+    {
+        const ReplicaState *replica = m_replicas.find(ReplicaId(id));
+        return replica != nullptr && !replica->entry.draining;
+    }
+
+    ManualClock m_clock;
+    ManualTimers m_timers;
+    MemoryRowStore m_store;
+    ReplicaTable m_replicas;
+    RegistryReader m_reader;
+    ConfigurationVersion m_version;
+};
+
+} // namespace
+
+TEST_F(RegistryReaderTest, ChangesAreInForceWithinTheirBounds)
+{
+    EXPECT_EQ(m_version, ConfigurationVersion(3));
+    m_store.put({"op", "", "config"}, R"({"version":7})");
+    m_store.put(replicaRow("a"), registration("draining", 2));
+    m_store.remove(replicaRow("b"));
+    m_timers.run(Milliseconds(1'900));
+    EXPECT_FALSE(usable("a"));
+    EXPECT_FALSE(usable("b"));
+    m_timers.run(Milliseconds(100));
+    EXPECT_EQ(m_version, ConfigurationVersion(7));
+}
+
+TEST_F(RegistryReaderTest, LostHistoryIsReadAnew)
+{
+    m_store.put({"op", "", "config"}, R"({"version":8})");
+    m_store.remove(replicaRow("b"));
+    m_store.compact();
+    m_timers.run(Milliseconds(2'900));
+    EXPECT_EQ(m_version, ConfigurationVersion(8));
+    EXPECT_FALSE(usable("b"));
+}
+
+TEST_F(RegistryReaderTest, ReplicasThatLapsedInAnOutageAreKeptUntilTheyAreBack)
+{
+    m_store.faults().away = true;
+    m_timers.run(Seconds(5));
+    m_store.remove(replicaRow("a"));
+    m_store.faults().away = false;
+    m_timers.run(Seconds(2));
+    EXPECT_TRUE(usable("a"));
+    m_store.put(replicaRow("a"), registration("ready", 3));
+    m_timers.run(Seconds(3));
+    EXPECT_TRUE(usable("a"));
+}
+
+TEST_F(RegistryReaderTest, AReplicaThatLeftRightAfterAnOutageIsGoneWithinThreeSeconds)
+{
+    m_store.faults().away = true;
+    m_timers.run(Seconds(5));
+    m_store.faults().away = false;
+    m_timers.run(Milliseconds(300));
+    m_store.remove(replicaRow("a"));
+    // A VM counts as connected again three seconds after the outage.
+    m_timers.run(Milliseconds(2'700));
+    EXPECT_FALSE(usable("a"));
+}
+
+} // namespace boragepath::platform
