--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -30,7 +30,7 @@
     /** The most that this turn hands out. */
     std::int64_t most = 0;
     /** An earlier reservation for the same turn that must not count any more, or empty. */
-    AttemptId replaces;
+    AttemptId replaces = AttemptId();
 };
 
 /** What one turn handed out. */
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -60,8 +60,10 @@
     VmEntry &entry = m_others[vm];
     const bool sameIncarnation = entry.incarnation == news.incarnation;
     const bool leaving = news.leaving || (sameIncarnation && entry.leaving);
+    // Once started, always started; news may arrive out of order.
+    const bool starting = news.starting && (!sameIncarnation || entry.starting);
     const SteadyTime newest = sameIncarnation ? std::max(entry.lastHeard, heardAt) : heardAt;
-    entry = {vm, *front, *address, ZoneId(news.zone), news.incarnation, leaving, newest};
+    entry = {vm, *front, *address, ZoneId(news.zone), news.incarnation, leaving, starting, newest};
 }
 
 std::vector<peers::VmNews> VmDirectory::news() const
@@ -76,6 +78,7 @@
         item.incarnation = entry.incarnation;
         item.ageMillis = static_cast<std::int32_t>(millisOf(age));
         item.leaving = entry.leaving;
+        item.starting = entry.starting;
         result.push_back(std::move(item));
     };
     add(m_self, Duration::zero());
@@ -118,7 +121,7 @@
     std::vector<Endpoint> inZone;
     std::vector<Endpoint> all;
     const auto add = [&](const VmEntry &entry) {
-        if (entry.leaving) {
+        if (entry.leaving || entry.starting) {
             return;
         }
         all.push_back(entry.front);
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -23,6 +23,8 @@
     /** Calendar time of the process's start in milliseconds. */
     std::int64_t incarnation = 0;
     bool leaving = false;
+    /** It cannot serve callers yet. */
+    bool starting = true;
     /** When this incarnation itself was last heard of, directly or through others. */
     SteadyTime lastHeard;
 };
@@ -44,6 +46,8 @@
     void learn(const VmEntry &entry);
     void hear(const peers::VmNews &news);
     void leave() { m_self.leaving = true; }
+    /** This VM can serve callers from now on. */
+    void started() { m_self.starting = false; }
 
     /** What this VM knows, for one datagram. */
     std::vector<peers::VmNews> news() const;
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -234,6 +234,7 @@
         .add("outcome", "in force")
         .info();
     m_ready = !m_stopBegan.has_value();
+    m_vms.started();
     asio::post(m_traffic, [this, limits = table->limits] { m_front.useLimits(limits); });
 }
 
@@ -272,9 +273,47 @@
     for (const Endpoint &to : m_vms.receivers()) {
         sendNews(to, false);
     }
+    if (m_scheduler.routes() == nullptr) {
+        askForRegistry();
+    }
     m_timers.after(NewsInterval, [this] { tellOthers(); });
 }
 
+/** A VM that starts while the store is away learns from the others what to serve. */
+void PlatformDaemon::askForRegistry()
+{
+    std::vector<Endpoint> receivers = m_vms.receivers();
+    for (const std::string &address : m_settings.seedAddresses) {
+        receivers.push_back({address, m_settings.peers.port});
+    }
+    peers::Envelope envelope;
+    envelope.vm = m_settings.vm.value();
+    envelope.__set_vmNews(m_vms.news());
+    envelope.__set_wantsNews(true);
+    envelope.__set_wantsRegistry(true);
+    envelope.__set_replyTo(m_settings.peers.text());
+    for (const Endpoint &to : receivers) {
+        if (to != m_settings.peers) {
+            m_peers.send(to, envelope);
+        }
+    }
+}
+
+void PlatformDaemon::sendRegistry(const Endpoint &to)
+{
+    const platform::RegistryCopy &copy = m_registry.copy();
+    if (copy.configuration.empty()) {
+        return;
+    }
+    peers::RegistryCopy message;
+    message.configuration = copy.configuration;
+    message.registrations = copy.registrations;
+    peers::Envelope envelope;
+    envelope.vm = m_settings.vm.value();
+    envelope.__set_registryCopy(message);
+    m_peers.send(to, envelope);
+}
+
 void PlatformDaemon::sendNews(const Endpoint &to, bool wantsNews)
 {
     peers::Envelope envelope;
@@ -295,19 +334,23 @@
 
 void PlatformDaemon::hear(const peers::Envelope &envelope)
 {
-    if (envelope.__isset.ledgerNote) {
-        const auto sender = parseEndpoint(envelope.replyTo);
-        if (sender.ok()) {
-            m_ledgerRelay.hear(*sender, envelope.ledgerNote);
-        }
-        return;
+    const auto sender = parseEndpoint(envelope.replyTo);
+    if (envelope.__isset.ledgerNote && sender.ok()) {
+        m_ledgerRelay.hear(*sender, envelope.ledgerNote);
+    }
+    if (envelope.__isset.registryCopy) {
+        m_registry.adopt(
+            {envelope.registryCopy.configuration, envelope.registryCopy.registrations});
+    }
+    if (envelope.wantsRegistry && sender.ok()) {
+        sendRegistry(*sender);
     }
     for (const peers::VmNews &news : envelope.vmNews) {
         m_vms.hear(news);
         if (envelope.wantsNews && news.vm == envelope.vm) {
-            const auto sender = parseEndpoint(news.peers);
-            if (sender.ok()) {
-                sendNews(*sender, false);
+            const auto teller = parseEndpoint(news.peers);
+            if (teller.ok()) {
+                sendNews(*teller, false);
             }
         }
     }
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -63,6 +63,8 @@
     void registerSelf();
     void readVms();
     void tellOthers();
+    void askForRegistry();
+    void sendRegistry(const Endpoint &to);
     void sendNews(const Endpoint &to, bool wantsNews);
     void sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note);
     void hear(const peers::Envelope &envelope);
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -1480,6 +1480,10 @@
 void VmNews::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void VmNews::__set_starting(const bool val) {
+  this->starting = val;
+}
 std::ostream& operator<<(std::ostream& out, const VmNews& obj)
 {
   obj.printTo(out);
@@ -1564,6 +1568,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->starting);
+          this->__isset.starting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1609,6 +1621,10 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("starting", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->starting);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1623,6 +1639,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.ageMillis, b.ageMillis);
   swap(a.leaving, b.leaving);
+  swap(a.starting, b.starting);
   swap(a.__isset, b.__isset);
 }
 
@@ -1634,6 +1651,7 @@
   incarnation = other35.incarnation;
   ageMillis = other35.ageMillis;
   leaving = other35.leaving;
+  starting = other35.starting;
   __isset = other35.__isset;
 }
 VmNews& VmNews::operator=(const VmNews& other36) {
@@ -1644,6 +1662,7 @@
   incarnation = other36.incarnation;
   ageMillis = other36.ageMillis;
   leaving = other36.leaving;
+  starting = other36.starting;
   __isset = other36.__isset;
   return *this;
 }
@@ -1657,6 +1676,143 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "ageMillis=" << to_string(ageMillis);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "starting=" << to_string(starting);
+  out << ")";
+}
+
+
+RegistryCopy::~RegistryCopy() noexcept {
+}
+
+
+void RegistryCopy::__set_configuration(const std::string& val) {
+  this->configuration = val;
+}
+
+void RegistryCopy::__set_registrations(const std::map<std::string, std::string> & val) {
+  this->registrations = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegistryCopy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegistryCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->configuration);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->registrations.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _ktype38;
+            ::apache::thrift::protocol::TType _vtype39;
+            xfer += iprot->readMapBegin(_ktype38, _vtype39, _size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              std::string _key42;
+              xfer += iprot->readString(_key42);
+              std::string& _val43 = this->registrations[_key42];
+              xfer += iprot->readString(_val43);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.registrations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegistryCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegistryCopy");
+
+  xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->configuration);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->registrations.size()));
+    std::map<std::string, std::string> ::const_iterator _iter44;
+    for (_iter44 = this->registrations.begin(); _iter44 != this->registrations.end(); ++_iter44)
+    {
+      xfer += oprot->writeString(_iter44->first);
+      xfer += oprot->writeString(_iter44->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegistryCopy &a, RegistryCopy &b) {
+  using ::std::swap;
+  swap(a.configuration, b.configuration);
+  swap(a.registrations, b.registrations);
+  swap(a.__isset, b.__isset);
+}
+
+RegistryCopy::RegistryCopy(const RegistryCopy& other45) {
+  configuration = other45.configuration;
+  registrations = other45.registrations;
+  __isset = other45.__isset;
+}
+RegistryCopy& RegistryCopy::operator=(const RegistryCopy& other46) {
+  configuration = other46.configuration;
+  registrations = other46.registrations;
+  __isset = other46.__isset;
+  return *this;
+}
+void RegistryCopy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegistryCopy(";
+  out << "configuration=" << to_string(configuration);
+  out << ", " << "registrations=" << to_string(registrations);
   out << ")";
 }
 
@@ -1734,9 +1890,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast37;
-          xfer += iprot->readI32(ecast37);
-          this->kind = static_cast<LedgerNoteKind::type>(ecast37);
+          int32_t ecast47;
+          xfer += iprot->readI32(ecast47);
+          this->kind = static_cast<LedgerNoteKind::type>(ecast47);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1784,9 +1940,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast38;
-          xfer += iprot->readI32(ecast38);
-          this->outcome = static_cast<LedgerOutcome::type>(ecast38);
+          int32_t ecast48;
+          xfer += iprot->readI32(ecast48);
+          this->outcome = static_cast<LedgerOutcome::type>(ecast48);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1859,27 +2015,27 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerNote::LedgerNote(const LedgerNote& other39) {
-  id = other39.id;
-  kind = other39.kind;
-  program = other39.program;
-  turn = other39.turn;
-  budget = other39.budget;
-  tokens = other39.tokens;
-  patienceMillis = other39.patienceMillis;
-  outcome = other39.outcome;
-  __isset = other39.__isset;
-}
-LedgerNote& LedgerNote::operator=(const LedgerNote& other40) {
-  id = other40.id;
-  kind = other40.kind;
-  program = other40.program;
-  turn = other40.turn;
-  budget = other40.budget;
-  tokens = other40.tokens;
-  patienceMillis = other40.patienceMillis;
-  outcome = other40.outcome;
-  __isset = other40.__isset;
+LedgerNote::LedgerNote(const LedgerNote& other49) {
+  id = other49.id;
+  kind = other49.kind;
+  program = other49.program;
+  turn = other49.turn;
+  budget = other49.budget;
+  tokens = other49.tokens;
+  patienceMillis = other49.patienceMillis;
+  outcome = other49.outcome;
+  __isset = other49.__isset;
+}
+LedgerNote& LedgerNote::operator=(const LedgerNote& other50) {
+  id = other50.id;
+  kind = other50.kind;
+  program = other50.program;
+  turn = other50.turn;
+  budget = other50.budget;
+  tokens = other50.tokens;
+  patienceMillis = other50.patienceMillis;
+  outcome = other50.outcome;
+  __isset = other50.__isset;
   return *this;
 }
 void LedgerNote::printTo(std::ostream& out) const {
@@ -1958,6 +2114,16 @@
   this->replyTo = val;
 __isset.replyTo = true;
 }
+
+void Envelope::__set_wantsRegistry(const bool val) {
+  this->wantsRegistry = val;
+__isset.wantsRegistry = true;
+}
+
+void Envelope::__set_registryCopy(const RegistryCopy& val) {
+  this->registryCopy = val;
+__isset.registryCopy = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -2014,14 +2180,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->permitRequests.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->permitRequests.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->permitRequests[_i45].read(iprot);
+              xfer += this->permitRequests[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2034,14 +2200,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitAnswers.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->permitAnswers.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->permitAnswers.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->permitAnswers[_i50].read(iprot);
+              xfer += this->permitAnswers[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2054,14 +2220,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReleases.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->permitReleases.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->permitReleases.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->permitReleases[_i55].read(iprot);
+              xfer += this->permitReleases[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2074,14 +2240,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitsReleased.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->permitsReleased.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->permitsReleased.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->permitsReleased[_i60].read(iprot);
+              xfer += this->permitsReleased[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2102,14 +2268,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmNews.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->vmNews.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->vmNews.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->vmNews[_i65].read(iprot);
+              xfer += this->vmNews[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2142,6 +2308,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsRegistry);
+          this->__isset.wantsRegistry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->registryCopy.read(iprot);
+          this->__isset.registryCopy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2176,10 +2358,10 @@
     xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-      std::vector<PermitRequest> ::const_iterator _iter66;
-      for (_iter66 = this->permitRequests.begin(); _iter66 != this->permitRequests.end(); ++_iter66)
+      std::vector<PermitRequest> ::const_iterator _iter76;
+      for (_iter76 = this->permitRequests.begin(); _iter76 != this->permitRequests.end(); ++_iter76)
       {
-        xfer += (*_iter66).write(oprot);
+        xfer += (*_iter76).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2189,10 +2371,10 @@
     xfer += oprot->writeFieldBegin("permitAnswers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitAnswers.size()));
-      std::vector<PermitAnswer> ::const_iterator _iter67;
-      for (_iter67 = this->permitAnswers.begin(); _iter67 != this->permitAnswers.end(); ++_iter67)
+      std::vector<PermitAnswer> ::const_iterator _iter77;
+      for (_iter77 = this->permitAnswers.begin(); _iter77 != this->permitAnswers.end(); ++_iter77)
       {
-        xfer += (*_iter67).write(oprot);
+        xfer += (*_iter77).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2202,10 +2384,10 @@
     xfer += oprot->writeFieldBegin("permitReleases", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReleases.size()));
-      std::vector<PermitRelease> ::const_iterator _iter68;
-      for (_iter68 = this->permitReleases.begin(); _iter68 != this->permitReleases.end(); ++_iter68)
+      std::vector<PermitRelease> ::const_iterator _iter78;
+      for (_iter78 = this->permitReleases.begin(); _iter78 != this->permitReleases.end(); ++_iter78)
       {
-        xfer += (*_iter68).write(oprot);
+        xfer += (*_iter78).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2215,10 +2397,10 @@
     xfer += oprot->writeFieldBegin("permitsReleased", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitsReleased.size()));
-      std::vector<PermitReleased> ::const_iterator _iter69;
-      for (_iter69 = this->permitsReleased.begin(); _iter69 != this->permitsReleased.end(); ++_iter69)
+      std::vector<PermitReleased> ::const_iterator _iter79;
+      for (_iter79 = this->permitsReleased.begin(); _iter79 != this->permitsReleased.end(); ++_iter79)
       {
-        xfer += (*_iter69).write(oprot);
+        xfer += (*_iter79).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2233,10 +2415,10 @@
     xfer += oprot->writeFieldBegin("vmNews", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmNews.size()));
-      std::vector<VmNews> ::const_iterator _iter70;
-      for (_iter70 = this->vmNews.begin(); _iter70 != this->vmNews.end(); ++_iter70)
+      std::vector<VmNews> ::const_iterator _iter80;
+      for (_iter80 = this->vmNews.begin(); _iter80 != this->vmNews.end(); ++_iter80)
       {
-        xfer += (*_iter70).write(oprot);
+        xfer += (*_iter80).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2257,6 +2439,16 @@
     xfer += oprot->writeString(this->replyTo);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.wantsRegistry) {
+    xfer += oprot->writeFieldBegin("wantsRegistry", ::apache::thrift::protocol::T_BOOL, 13);
+    xfer += oprot->writeBool(this->wantsRegistry);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.registryCopy) {
+    xfer += oprot->writeFieldBegin("registryCopy", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->registryCopy.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2276,38 +2468,44 @@
   swap(a.wantsNews, b.wantsNews);
   swap(a.ledgerNote, b.ledgerNote);
   swap(a.replyTo, b.replyTo);
+  swap(a.wantsRegistry, b.wantsRegistry);
+  swap(a.registryCopy, b.registryCopy);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other71) {
-  vm = other71.vm;
-  fence = other71.fence;
-  probe = other71.probe;
-  permitRequests = other71.permitRequests;
-  permitAnswers = other71.permitAnswers;
-  permitReleases = other71.permitReleases;
-  permitsReleased = other71.permitsReleased;
-  heldPrograms = other71.heldPrograms;
-  vmNews = other71.vmNews;
-  wantsNews = other71.wantsNews;
-  ledgerNote = other71.ledgerNote;
-  replyTo = other71.replyTo;
-  __isset = other71.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other72) {
-  vm = other72.vm;
-  fence = other72.fence;
-  probe = other72.probe;
-  permitRequests = other72.permitRequests;
-  permitAnswers = other72.permitAnswers;
-  permitReleases = other72.permitReleases;
-  permitsReleased = other72.permitsReleased;
-  heldPrograms = other72.heldPrograms;
-  vmNews = other72.vmNews;
-  wantsNews = other72.wantsNews;
-  ledgerNote = other72.ledgerNote;
-  replyTo = other72.replyTo;
-  __isset = other72.__isset;
+Envelope::Envelope(const Envelope& other81) {
+  vm = other81.vm;
+  fence = other81.fence;
+  probe = other81.probe;
+  permitRequests = other81.permitRequests;
+  permitAnswers = other81.permitAnswers;
+  permitReleases = other81.permitReleases;
+  permitsReleased = other81.permitsReleased;
+  heldPrograms = other81.heldPrograms;
+  vmNews = other81.vmNews;
+  wantsNews = other81.wantsNews;
+  ledgerNote = other81.ledgerNote;
+  replyTo = other81.replyTo;
+  wantsRegistry = other81.wantsRegistry;
+  registryCopy = other81.registryCopy;
+  __isset = other81.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other82) {
+  vm = other82.vm;
+  fence = other82.fence;
+  probe = other82.probe;
+  permitRequests = other82.permitRequests;
+  permitAnswers = other82.permitAnswers;
+  permitReleases = other82.permitReleases;
+  permitsReleased = other82.permitsReleased;
+  heldPrograms = other82.heldPrograms;
+  vmNews = other82.vmNews;
+  wantsNews = other82.wantsNews;
+  ledgerNote = other82.ledgerNote;
+  replyTo = other82.replyTo;
+  wantsRegistry = other82.wantsRegistry;
+  registryCopy = other82.registryCopy;
+  __isset = other82.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -2325,6 +2523,8 @@
   out << ", " << "wantsNews="; (__isset.wantsNews ? (out << to_string(wantsNews)) : (out << "<null>"));
   out << ", " << "ledgerNote="; (__isset.ledgerNote ? (out << to_string(ledgerNote)) : (out << "<null>"));
   out << ", " << "replyTo="; (__isset.replyTo ? (out << to_string(replyTo)) : (out << "<null>"));
+  out << ", " << "wantsRegistry="; (__isset.wantsRegistry ? (out << to_string(wantsRegistry)) : (out << "<null>"));
+  out << ", " << "registryCopy="; (__isset.registryCopy ? (out << to_string(registryCopy)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -83,6 +83,8 @@
 
 class VmNews;
 
+class RegistryCopy;
+
 class LedgerNote;
 
 class Envelope;
@@ -622,7 +624,7 @@
 std::ostream& operator<<(std::ostream& out, const HeldPrograms& obj);
 
 typedef struct _VmNews__isset {
-  _VmNews__isset() : vm(false), front(false), peers(false), zone(false), incarnation(false), ageMillis(false), leaving(false) {}
+  _VmNews__isset() : vm(false), front(false), peers(false), zone(false), incarnation(false), ageMillis(false), leaving(false), starting(false) {}
   bool vm :1;
   bool front :1;
   bool peers :1;
@@ -630,6 +632,7 @@
   bool incarnation :1;
   bool ageMillis :1;
   bool leaving :1;
+  bool starting :1;
 } _VmNews__isset;
 
 class VmNews : public virtual ::apache::thrift::TBase {
@@ -644,7 +647,8 @@
            zone(),
            incarnation(0),
            ageMillis(0),
-           leaving(0) {
+           leaving(0),
+           starting(0) {
   }
 
   virtual ~VmNews() noexcept;
@@ -655,6 +659,7 @@
   int64_t incarnation;
   int32_t ageMillis;
   bool leaving;
+  bool starting;
 
   _VmNews__isset __isset;
 
@@ -672,6 +677,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_starting(const bool val);
+
   bool operator == (const VmNews & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -688,6 +695,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(starting == rhs.starting))
+      return false;
     return true;
   }
   bool operator != (const VmNews &rhs) const {
@@ -706,6 +715,55 @@
 
 std::ostream& operator<<(std::ostream& out, const VmNews& obj);
 
+typedef struct _RegistryCopy__isset {
+  _RegistryCopy__isset() : configuration(false), registrations(false) {}
+  bool configuration :1;
+  bool registrations :1;
+} _RegistryCopy__isset;
+
+class RegistryCopy : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegistryCopy(const RegistryCopy&);
+  RegistryCopy& operator=(const RegistryCopy&);
+  RegistryCopy() noexcept
+               : configuration() {
+  }
+
+  virtual ~RegistryCopy() noexcept;
+  std::string configuration;
+  std::map<std::string, std::string>  registrations;
+
+  _RegistryCopy__isset __isset;
+
+  void __set_configuration(const std::string& val);
+
+  void __set_registrations(const std::map<std::string, std::string> & val);
+
+  bool operator == (const RegistryCopy & rhs) const
+  {
+    if (!(configuration == rhs.configuration))
+      return false;
+    if (!(registrations == rhs.registrations))
+      return false;
+    return true;
+  }
+  bool operator != (const RegistryCopy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegistryCopy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegistryCopy &a, RegistryCopy &b);
+
+std::ostream& operator<<(std::ostream& out, const RegistryCopy& obj);
+
 typedef struct _LedgerNote__isset {
   _LedgerNote__isset() : id(false), kind(false), program(false), turn(false), budget(false), tokens(false), patienceMillis(false), outcome(false) {}
   bool id :1;
@@ -807,7 +865,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerNote& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -820,6 +878,8 @@
   bool wantsNews :1;
   bool ledgerNote :1;
   bool replyTo :1;
+  bool wantsRegistry :1;
+  bool registryCopy :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -831,7 +891,8 @@
            : vm(),
              fence(0),
              wantsNews(0),
-             replyTo() {
+             replyTo(),
+             wantsRegistry(0) {
   }
 
   virtual ~Envelope() noexcept;
@@ -847,6 +908,8 @@
   bool wantsNews;
   LedgerNote ledgerNote;
   std::string replyTo;
+  bool wantsRegistry;
+  RegistryCopy registryCopy;
 
   _Envelope__isset __isset;
 
@@ -874,6 +937,10 @@
 
   void __set_replyTo(const std::string& val);
 
+  void __set_wantsRegistry(const bool val);
+
+  void __set_registryCopy(const RegistryCopy& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -920,6 +987,14 @@
       return false;
     else if (__isset.replyTo && !(replyTo == rhs.replyTo))
       return false;
+    if (__isset.wantsRegistry != rhs.__isset.wantsRegistry)
+      return false;
+    else if (__isset.wantsRegistry && !(wantsRegistry == rhs.wantsRegistry))
+      return false;
+    if (__isset.registryCopy != rhs.__isset.registryCopy)
+      return false;
+    else if (__isset.registryCopy && !(registryCopy == rhs.registryCopy))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -102,6 +102,15 @@
     6: i32 ageMillis;
     // It is stopping and must not be handed out to callers.
     7: bool leaving;
+    // It has no configuration yet and must not be handed out to callers.
+    8: bool starting;
+}
+
+// What the sender last read from the operator and the replicas, as it was read.
+struct RegistryCopy {
+    1: string configuration;
+    // By the names of the replicas.
+    2: map<string, string> registrations;
 }
 
 enum LedgerNoteKind {
@@ -151,4 +160,7 @@
     11: optional LedgerNote ledgerNote;
     // Where the sender receives datagrams, "address:port".
     12: optional string replyTo;
+    // The receiver is asked for a copy: the sender has none and cannot reach the store.
+    13: optional bool wantsRegistry;
+    14: optional RegistryCopy registryCopy;
 }
--- a/tests/platform/registry_reader_test.cpp
+++ b/tests/platform/registry_reader_test.cpp
@@ -92,6 +92,31 @@
     EXPECT_TRUE(usable("a"));
 }
 
+TEST_F(RegistryReaderTest, AVmThatStartsInAnOutageServesByAnothersCopy)
+{
+    m_store.faults().away = true;
+    ReplicaTable replicas(m_clock);
+    ConfigurationVersion version;
+    RegistryReader fresh(
+        m_clock, m_timers, m_store, replicas,
+        [&](std::shared_ptr<const RouteTable> table) { version = table->version; }, 2);
+    fresh.start();
+    m_timers.run(Seconds(2));
+    EXPECT_EQ(version, ConfigurationVersion());
+    fresh.adopt(m_reader.copy());
+    EXPECT_EQ(version, ConfigurationVersion(3));
+    EXPECT_EQ(replicas.all().size(), 2U);
+    {
+        SCOPED_TRACE("what the store says later holds");
+        m_store.put({"op", "", "config"}, R"({"version":9})");
+        m_store.faults().away = false;
+        m_timers.run(Seconds(4));
+        EXPECT_EQ(version, ConfigurationVersion(9));
+        fresh.adopt({R"({"version":11})", {}});
+        EXPECT_EQ(version, ConfigurationVersion(9));
+    }
+}
+
 TEST_F(RegistryReaderTest, AReplicaThatLeftRightAfterAnOutageIsGoneWithinThreeSeconds)
 {
     m_store.faults().away = true;
