--- a/control/store_health.h
+++ b/control/store_health.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/clock.h"
+
 namespace boragepath {
 
 /**
@@ -11,15 +13,23 @@
 class StoreHealth
 {
 public:
+    explicit StoreHealth(const Clock &clock);
+
     /** A call was answered; true if the store was away until now. */
     bool noteAnswer();
-    /** A call was refused or not answered; true if the store counts as away from now on. */
-    bool noteFailure();
+    /** A call was refused; true if the store counts as away from now on. */
+    bool noteRefusal();
+    /** A call was not answered; single answers are lost while the store is well. */
+    bool noteSilence();
     bool away() const { return m_away; }
 
 private:
+    bool noteFailure(bool enough);
+
+    const Clock &m_clock;
     int m_failuresInRow = 0;
     bool m_away = false;
+    SteadyTime m_answeredAt;
 };
 
 } // namespace boragepath
--- a/tests/control/ledger_relay_test.cpp
+++ b/tests/control/ledger_relay_test.cpp
@@ -58,7 +58,8 @@
     struct Vm
     {
         Vm(RelayFleet &fleet, VmEntry entry, std::uint64_t seed)
-            : ledger(fleet.clock, fleet.timers, fleet.store, health, seed)
+            : health(fleet.clock)
+            , ledger(fleet.clock, fleet.timers, fleet.store, health, seed)
             , directory(fleet.clock, entry, seed)
             , relay(
                   fleet.clock, fleet.timers, ledger, directory,
--- a/tests/control/program_ledger_test.cpp
+++ b/tests/control/program_ledger_test.cpp
@@ -26,7 +26,7 @@
         , store(timers, seed)
     {
         for (std::size_t vm = 0; vm < vms; ++vm) {
-            healths.push_back(std::make_unique<StoreHealth>());
+            healths.push_back(std::make_unique<StoreHealth>(clock));
             ledgers.push_back(
                 std::make_unique<ProgramLedger>(clock, timers, store, *healths.back(), seed + vm));
         }
@@ -103,7 +103,7 @@
     {
         SCOPED_TRACE("calls that go unanswered show that the store is away");
         for (int call = 0; call < 3; ++call) {
-            fleet.healths[0]->noteFailure();
+            fleet.healths[0]->noteRefusal();
         }
         std::optional<Reservation> result;
         fleet.ledgers[0]->reserve({ProgramId("other"), AttemptId("x"), 100, 10},
--- a/tests/control/turn_archive_test.cpp
+++ b/tests/control/turn_archive_test.cpp
@@ -21,6 +21,7 @@
     explicit Archives(std::uint64_t seed = 5)
         : timers(clock)
         , store(timers, seed)
+        , health(clock)
         , writer(clock, timers, store, health, CacheBytes, seed)
         , reader(clock, timers, store, health, CacheBytes, seed + 1)
     { }
--- a/tests/platform/session_test.cpp
+++ b/tests/platform/session_test.cpp
@@ -158,6 +158,7 @@
         : m_manualTimers(m_manualClock)
         , m_store(m_manualTimers, 3)
         , m_timers(m_context)
+        , m_health(m_clock)
         , m_replicas(m_clock)
         , m_ledger(m_clock, m_timers, m_store, m_health, 1)
         , m_turns(m_clock, m_timers, m_store, m_health, 1'000'000, 1)
