--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -63,7 +63,10 @@
     // Once started, always started; news may arrive out of order.
     const bool starting = news.starting && (!sameIncarnation || entry.starting);
     const SteadyTime newest = sameIncarnation ? std::max(entry.lastHeard, heardAt) : heardAt;
-    entry = {vm, *front, *address, ZoneId(news.zone), news.incarnation, leaving, starting, newest};
+    const bool storeAway =
+        sameIncarnation && heardAt < entry.lastHeard ? entry.storeAway : news.storeAway;
+    entry = {vm,       *front,    *address, ZoneId(news.zone), news.incarnation, leaving,
+             starting, storeAway, newest};
 }
 
 std::vector<peers::VmNews> VmDirectory::news() const
@@ -79,6 +82,7 @@
         item.ageMillis = static_cast<std::int32_t>(millisOf(age));
         item.leaving = entry.leaving;
         item.starting = entry.starting;
+        item.storeAway = entry.storeAway;
         result.push_back(std::move(item));
     };
     add(m_self, Duration::zero());
@@ -155,6 +159,20 @@
     return best;
 }
 
+std::optional<Endpoint> VmDirectory::someVmWithStore()
+{
+    std::vector<Endpoint> candidates;
+    for (const auto &[vm, entry] : m_others) {
+        if (lives(entry) && !entry.storeAway && !entry.leaving) {
+            candidates.push_back(entry.peers);
+        }
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return candidates[m_random() % candidates.size()];
+}
+
 std::size_t VmDirectory::liveCount() const
 {
     const auto live = std::count_if(m_others.begin(), m_others.end(),
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -25,6 +25,8 @@
     bool leaving = false;
     /** It cannot serve callers yet. */
     bool starting = true;
+    /** The store does not answer it; as it said last. */
+    bool storeAway = false;
     /** When this incarnation itself was last heard of, directly or through others. */
     SteadyTime lastHeard;
 };
@@ -48,6 +50,10 @@
     void leave() { m_self.leaving = true; }
     /** This VM can serve callers from now on. */
     void started() { m_self.starting = false; }
+    /** Whether the store answers this VM. */
+    void setStoreAway(bool away) { m_self.storeAway = away; }
+    /** Some live VM that the store answers, other than this one. */
+    std::optional<Endpoint> someVmWithStore();
 
     /** What this VM knows, for one datagram. */
     std::vector<peers::VmNews> news() const;
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -109,7 +109,8 @@
     , m_timers(m_control)
     , m_trafficTimers(m_traffic)
     , m_health(m_clock)
-    , m_store(m_control, m_clock, m_settings.store, m_health)
+    , m_store(m_control, m_clock, m_settings.store, m_health,
+              [this] { return m_vms.someVmWithStore(); })
     , m_replicas(m_clock)
     , m_ledger(m_clock, m_timers, m_store, m_health, seed)
     , m_turns(m_clock, m_timers, m_store, m_health, conversationBytes(m_settings), seed)
@@ -134,7 +135,12 @@
                     [this](const HttpRequest &request, HttpResponder &responder) {
                         return answerReady(request, responder);
                     })
+    , m_detourServer(m_control, smallLimits(),
+                     [this](const HttpRequest &request, HttpResponder &responder) {
+                         return passStoreCallOn(request, responder);
+                     })
 {
+    m_detourServer.listen(m_settings.peers);
     m_directoryServer.listen(m_settings.directory);
     m_readyServer.listen(m_settings.ready);
     if (metricsPort.has_value()) {
@@ -271,6 +277,7 @@
 
 void PlatformDaemon::tellOthers()
 {
+    m_vms.setStoreAway(m_store.directlyAway());
     for (const Endpoint &to : m_vms.receivers()) {
         sendNews(to, false);
     }
@@ -382,6 +389,24 @@
     co_await responder.send(response);
 }
 
+asio::awaitable<void> PlatformDaemon::passStoreCallOn(const HttpRequest &request,
+                                                      HttpResponder &responder)
+{
+    HttpRequest passed;
+    passed.method = request.method;
+    passed.target = request.target;
+    passed.body = request.body;
+    const std::string contentType = request.valueOf("Content-Type");
+    if (!contentType.empty()) {
+        passed.fields.push_back({"Content-Type", contentType});
+    }
+    const HttpResponse answer = co_await m_store.passOn(std::move(passed));
+    HttpResponse response;
+    response.status = answer.status;
+    response.body = answer.body;
+    co_await responder.send(response);
+}
+
 asio::awaitable<void> PlatformDaemon::answerReady(const HttpRequest &request,
                                                   HttpResponder &responder)
 {
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -70,6 +70,8 @@
     void hear(const peers::Envelope &envelope);
     void closeStaleLinks();
     boost::asio::awaitable<void> resolve(const HttpRequest &request, HttpResponder &responder);
+    boost::asio::awaitable<void> passStoreCallOn(const HttpRequest &request,
+                                                 HttpResponder &responder);
     boost::asio::awaitable<void> answerReady(const HttpRequest &request, HttpResponder &responder);
     boost::asio::awaitable<void> answerMetrics(const HttpRequest &request,
                                                HttpResponder &responder);
@@ -101,6 +103,8 @@
     platform::FrontServer m_front;
     HttpServer m_directoryServer;
     HttpServer m_readyServer;
+    /** Store calls of VMs that the store turns away; on the control thread. */
+    HttpServer m_detourServer;
     std::optional<HttpServer> m_metricsServer;
     std::atomic<bool> m_ready = false;
     std::optional<SteadyTime> m_stopBegan;
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -1484,6 +1484,10 @@
 void VmNews::__set_starting(const bool val) {
   this->starting = val;
 }
+
+void VmNews::__set_storeAway(const bool val) {
+  this->storeAway = val;
+}
 std::ostream& operator<<(std::ostream& out, const VmNews& obj)
 {
   obj.printTo(out);
@@ -1576,6 +1580,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeAway);
+          this->__isset.storeAway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1625,6 +1637,10 @@
   xfer += oprot->writeBool(this->starting);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("storeAway", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->storeAway);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1640,6 +1656,7 @@
   swap(a.ageMillis, b.ageMillis);
   swap(a.leaving, b.leaving);
   swap(a.starting, b.starting);
+  swap(a.storeAway, b.storeAway);
   swap(a.__isset, b.__isset);
 }
 
@@ -1652,6 +1669,7 @@
   ageMillis = other35.ageMillis;
   leaving = other35.leaving;
   starting = other35.starting;
+  storeAway = other35.storeAway;
   __isset = other35.__isset;
 }
 VmNews& VmNews::operator=(const VmNews& other36) {
@@ -1663,6 +1681,7 @@
   ageMillis = other36.ageMillis;
   leaving = other36.leaving;
   starting = other36.starting;
+  storeAway = other36.storeAway;
   __isset = other36.__isset;
   return *this;
 }
@@ -1677,6 +1696,7 @@
   out << ", " << "ageMillis=" << to_string(ageMillis);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "starting=" << to_string(starting);
+  out << ", " << "storeAway=" << to_string(storeAway);
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -624,7 +624,7 @@
 std::ostream& operator<<(std::ostream& out, const HeldPrograms& obj);
 
 typedef struct _VmNews__isset {
-  _VmNews__isset() : vm(false), front(false), peers(false), zone(false), incarnation(false), ageMillis(false), leaving(false), starting(false) {}
+  _VmNews__isset() : vm(false), front(false), peers(false), zone(false), incarnation(false), ageMillis(false), leaving(false), starting(false), storeAway(false) {}
   bool vm :1;
   bool front :1;
   bool peers :1;
@@ -633,6 +633,7 @@
   bool ageMillis :1;
   bool leaving :1;
   bool starting :1;
+  bool storeAway :1;
 } _VmNews__isset;
 
 class VmNews : public virtual ::apache::thrift::TBase {
@@ -648,7 +649,8 @@
            incarnation(0),
            ageMillis(0),
            leaving(0),
-           starting(0) {
+           starting(0),
+           storeAway(0) {
   }
 
   virtual ~VmNews() noexcept;
@@ -660,6 +662,7 @@
   int32_t ageMillis;
   bool leaving;
   bool starting;
+  bool storeAway;
 
   _VmNews__isset __isset;
 
@@ -679,6 +682,8 @@
 
   void __set_starting(const bool val);
 
+  void __set_storeAway(const bool val);
+
   bool operator == (const VmNews & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -697,6 +702,8 @@
       return false;
     if (!(starting == rhs.starting))
       return false;
+    if (!(storeAway == rhs.storeAway))
+      return false;
     return true;
   }
   bool operator != (const VmNews &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -104,6 +104,8 @@
     7: bool leaving;
     // It has no configuration yet and must not be handed out to callers.
     8: bool starting;
+    // The store does not answer it.
+    9: bool storeAway;
 }
 
 // What the sender last read from the operator and the replicas, as it was read.
