--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -49,17 +49,18 @@
     const ReplicaCodec &codec;
     CallerChannel &channel;
     CallDispatch dispatch;
-    ReplicaObservation observation;
+    SteadyTime startedAt;
+    ReplicaObservation observation = ReplicaObservation();
     /** Replicas that may have run the call. */
     int runs = 0;
     /** The caller has been sent the head of an answer. */
     bool began = false;
     bool streamed = false;
     std::int64_t events = 0;
-    std::optional<std::int64_t> lastEventId;
-    std::string output;
+    std::optional<std::int64_t> lastEventId = std::nullopt;
+    std::string output = std::string();
     unsigned status = 0;
-    std::string trouble;
+    std::string trouble = std::string();
 
     bool repeatable() const
     {
@@ -106,19 +107,14 @@
 asio::awaitable<void> CallForwarder::serve(IncomingCall call, ReplicaCodec codec,
                                            std::shared_ptr<CallerChannel> channel)
 {
+    const SteadyTime startedAt = m_clock.now();
     CallDecision decision = co_await open(call);
     if (const auto *refusal = std::get_if<CallRefusal>(&decision)) {
         m_counters.refused += 1;
         co_await channel->refuse(*refusal);
         co_return;
     }
-    Progress progress{call,     codec,
-                      *channel, std::get<CallDispatch>(decision),
-                      {},       0,
-                      false,    false,
-                      0,        std::nullopt,
-                      {},       0,
-                      {}};
+    Progress progress{call, codec, *channel, std::get<CallDispatch>(decision), startedAt};
     for (;;) {
         const Step step = co_await runOnce(progress);
         const bool movesOn =
@@ -416,6 +412,10 @@
     }
     if (step == Step::Delivered) {
         m_counters.served += 1;
+        const std::chrono::duration<double> taken = m_clock.now() - progress.startedAt;
+        m_counters.latencies.observe(progress.streamed ? "boragepath_stream_seconds"
+                                                       : "boragepath_call_seconds",
+                                     taken.count());
         if (!progress.streamed) {
             co_return;
         }
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -2,6 +2,7 @@
 
 #include "backends/replica_link.h"
 #include "control/call_scheduler.h"
+#include "core/metrics.h"
 #include "net/http_types.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -82,6 +83,8 @@
     std::atomic<std::uint64_t> failed = 0;
     std::atomic<std::uint64_t> callerGone = 0;
     std::atomic<std::uint64_t> replicaConnections = 0;
+    /** Times of served calls, and to the first event of streams. */
+    Metrics latencies;
 };
 
 /**
--- a/control/ledger_relay.h
+++ b/control/ledger_relay.h
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "peers/gen/messages_types.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -36,6 +37,7 @@
     /** Takes a note of the VM at @p from. */
     void hear(const Endpoint &from, const peers::LedgerNote &note);
 
+    /** Counts for the metrics page; safe from any thread. */
     std::uint64_t relayed() const { return m_relayed; }
     std::uint64_t fallbacks() const { return m_fallbacks; }
 
@@ -62,8 +64,8 @@
     /** Turns whose reservation this VM made itself after the other one did not answer. */
     std::set<AttemptId> m_ownReservations;
     std::int64_t m_nextId = 1;
-    std::uint64_t m_relayed = 0;
-    std::uint64_t m_fallbacks = 0;
+    std::atomic<std::uint64_t> m_relayed = 0;
+    std::atomic<std::uint64_t> m_fallbacks = 0;
 };
 
 } // namespace boragepath
--- a/control/store_health.h
+++ b/control/store_health.h
@@ -2,6 +2,8 @@
 
 #include "core/clock.h"
 
+#include <atomic>
+
 namespace boragepath {
 
 /**
@@ -28,7 +30,8 @@
 
     const Clock &m_clock;
     int m_failuresInRow = 0;
-    bool m_away = false;
+    /** Also read by the metrics page, on another thread. */
+    std::atomic<bool> m_away = false;
     SteadyTime m_answeredAt;
 };
 
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -435,7 +435,12 @@
         counterText("boragepath_calls_failed_total", m_counters.failed),
         counterText("boragepath_callers_gone_total", m_counters.callerGone),
         counterText("boragepath_replica_connections_total", m_counters.replicaConnections),
-        gaugeText("boragepath_calls_under_way", static_cast<double>(m_front.requestsUnderWay())));
+        counterText("boragepath_store_calls_total", m_store.calls()),
+        counterText("boragepath_budget_changes_relayed_total", m_ledgerRelay.relayed()),
+        counterText("boragepath_budget_changes_made_here_total", m_ledgerRelay.fallbacks()),
+        gaugeText("boragepath_calls_under_way", static_cast<double>(m_front.requestsUnderWay())),
+        gaugeText("boragepath_store_away", m_store.directlyAway() ? 1 : 0),
+        m_counters.latencies.prometheusText());
     co_await responder.send(response);
 }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -75,7 +75,8 @@
 
 RC_GTEST_PROP(PlatformSettingsProperty, NoTextBreaksTheReader, (const std::string &text))
 {
-    parseNodeSettings(text);
+    const auto settings = parseNodeSettings(text);
+    RC_ASSERT(settings.ok() || !settings.status().message().empty());
 }
 
 // --- Registrations -----------------------------------------------------------
