--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -1,6 +1,6 @@
 #include "control/program_ledger.h"
 
-#include "control/store_retry.h"
+#include "control/backoff.h"
 
 #include <algorithm>
 #include <memory>
@@ -280,7 +280,7 @@
 void ProgramLedger::pauseThenPump(const ProgramId &id, bool read)
 {
     Program &program = m_programs[id];
-    const Duration pause = storeRetryPause(program.failures, m_random);
+    const Duration pause = jitteredBackoff(program.failures, m_random);
     program.failures += 1;
     m_timers.after(pause, [this, id, read] {
         if (read) {
--- a/control/turn_archive.cpp
+++ b/control/turn_archive.cpp
@@ -1,6 +1,6 @@
 #include "control/turn_archive.h"
 
-#include "control/store_retry.h"
+#include "control/backoff.h"
 
 namespace boragepath {
 
@@ -81,7 +81,7 @@
         std::move(transaction), [this, recording, rows](const TransactionResult &result) {
             if (result.answer != StoreAnswer::Done) {
                 // The same rows again: whether the first call took effect does not matter.
-                const Duration pause = storeRetryPause(recording->failures, m_random);
+                const Duration pause = jitteredBackoff(recording->failures, m_random);
                 recording->failures += 1;
                 m_timers.after(pause, [this, recording] { write(recording); });
                 return;
