--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -392,7 +392,6 @@
 {
     CallerChannel &channel = progress.channel;
     CallEnd end;
-    end.mayHaveRun = progress.runs > 0;
     end.whole = step == Step::Delivered && progress.status / 100 == 2;
     end.tokens = progress.events * progress.dispatch.tokensPerEvent;
     end.output = std::move(progress.output);
--- a/backends/replica_link.cpp
+++ b/backends/replica_link.cpp
@@ -1,5 +1,7 @@
 #include "backends/replica_link.h"
 
+#include "net/socket_peek.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -147,12 +149,7 @@
 
 bool ReplicaLink::silent()
 {
-    char byte = 0;
-    beast::error_code error;
-    tcp::socket &socket = m_state->stream.socket();
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
+    return peek(m_state->stream.socket()) == PeekResult::Nothing;
 }
 
 ReplicaLinks::ReplicaLinks(asio::any_io_executor executor, const Clock &clock)
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -83,8 +83,6 @@
 /** How a call ended. */
 struct CallEnd
 {
-    /** A replica may have run it. */
-    bool mayHaveRun = false;
     /** Its whole answer arrived. */
     bool whole = false;
     /** Tokens handed to the caller. */
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include "net/socket_peek.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -70,16 +72,6 @@
     co_return true;
 }
 
-/** False if the server has closed an idle connection, or sent what nobody asked for. */
-bool staysSilent(tcp::socket &socket)
-{
-    char byte = 0;
-    beast::error_code error;
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 template <typename Stream>
 asio::awaitable<void> exchange(Stream &stream, const http::request<http::string_body> &message,
                                Milliseconds timeout, HttpResult &result)
@@ -248,7 +240,8 @@
     const auto message = makeMessage(m_endpoint, request, true);
     std::unique_ptr<beast::tcp_stream> stream;
     while (stream == nullptr && !connections->idle.empty()) {
-        if (staysSilent(connections->idle.back()->socket())) {
+        // A connection that was closed, or on which more than asked for came, is of no use.
+        if (peek(connections->idle.back()->socket()) == PeekResult::Nothing) {
             stream = std::move(connections->idle.back());
         }
         connections->idle.pop_back();
