--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -60,7 +60,8 @@
     std::optional<std::int64_t> lastEventId = std::nullopt;
     std::string output = std::string();
     unsigned status = 0;
-    std::string trouble = std::string();
+    /** What went wrong at the replica before, for the log. */
+    std::string earlierTrouble = std::string();
 
     bool repeatable() const
     {
@@ -125,6 +126,7 @@
         }
         const CallHandle handle = progress.dispatch.handle;
         decision = co_await moveOn(handle, progress.observation);
+        progress.earlierTrouble = progress.observation.trouble;
         progress.observation = {};
         if (const auto *next = std::get_if<CallDispatch>(&decision)) {
             progress.dispatch = *next;
@@ -135,8 +137,8 @@
             co_return;
         }
         CallEnd end;
-        end.outcome =
-            "refused:" + std::string(refusalReasonName(std::get<CallRefusal>(decision).reason));
+        end.refusal = std::get<CallRefusal>(decision).reason;
+        end.outcome = std::string(refusalReasonName(*end.refusal));
         co_await close(handle, end);
         m_counters.refused += 1;
         co_await channel->refuse(std::get<CallRefusal>(decision));
@@ -180,7 +182,7 @@
     const std::shared_ptr<ReplicaLink> link = co_await connect(dispatch);
     if (link == nullptr) {
         progress.observation.outcome = Outcome::Unreachable;
-        progress.trouble = "unreachable";
+        progress.observation.trouble = "unreachable";
         co_return Step::NotRun;
     }
     if (progress.channel.gone()) {
@@ -215,7 +217,7 @@
     const bool sent = co_await link->send(head, body, dispatch.deadline);
     if (!sent || !co_await readOwnHead(progress, *link, reply)) {
         progress.observation.outcome = Outcome::Failed;
-        progress.trouble = sent ? "no answer" : "send failed";
+        progress.observation.trouble = sent ? "no answer" : "send failed";
         link->close();
         co_return progress.channel.gone() ? Step::CallerGone : Step::Broken;
     }
@@ -224,14 +226,14 @@
         progress.runs -= 1;
         progress.observation.outcome = Outcome::Declined;
         progress.observation.otherReplica = reply.otherReplica;
-        progress.trouble = reply.otherReplica ? "other replica" : "declined";
+        progress.observation.trouble = reply.otherReplica ? "other replica" : "declined";
         link->close();
         co_return Step::NotRun;
     }
     const bool broken = (isSuccess(reply.status) && !reply.vouched) || reply.encoded;
     if (broken) {
         progress.observation.outcome = Outcome::Failed;
-        progress.trouble = "not the replica's own answer";
+        progress.observation.trouble = "not the replica's own answer";
         link->close();
         co_return Step::Broken;
     }
@@ -289,17 +291,17 @@
     while (!link.done()) {
         if (!co_await link.readSome(body, silenceEnd(progress))
             || body.size() > MaxWholeAnswerBytes) {
-            progress.trouble = "answer broke off";
+            progress.observation.trouble = "answer broke off";
             co_return progress.channel.gone() ? Step::CallerGone : Step::Broken;
         }
     }
     if (progress.began) {
         // A stream that was to go on cannot end in an answer of another kind.
-        progress.trouble = "could not be resumed";
+        progress.observation.trouble = "could not be resumed";
         co_return Step::Broken;
     }
     if (head.status >= FirstServerError && progress.mayRunAgain()) {
-        progress.trouble = "server error";
+        progress.observation.trouble = "server error";
         co_return Step::Broken;
     }
     progress.status = head.status;
@@ -307,7 +309,7 @@
     for (const unsigned promise : promises) {
         if (head.status == promise) {
             // The replica did not say that it has not run the call, so neither may we.
-            progress.trouble = "unclear refusal";
+            progress.observation.trouble = "unclear refusal";
             co_return Step::Broken;
         }
     }
@@ -370,7 +372,7 @@
         }
         bytes.clear();
         if (!co_await link.readSome(bytes, silenceEnd(progress))) {
-            progress.trouble = "stream broke off";
+            progress.observation.trouble = "stream broke off";
             co_return progress.channel.gone() ? Step::CallerGone : Step::Broken;
         }
         scanner.add(bytes);
@@ -379,7 +381,7 @@
         progress.observation.eventPause = (lastAt - firstAt) / (eventsHere - 1);
     }
     if (scanner.midEvent()) {
-        progress.trouble = "ended within an event";
+        progress.observation.trouble = "ended within an event";
         co_return Step::Broken;
     }
     if (!progress.began && !co_await passEvent(progress, head, "")) {
@@ -396,9 +398,12 @@
     end.tokens = progress.events * progress.dispatch.tokensPerEvent;
     end.output = std::move(progress.output);
     end.status = progress.status;
+    const std::string &trouble = progress.observation.trouble.empty()
+        ? progress.earlierTrouble
+        : progress.observation.trouble;
     end.outcome = step == Step::Delivered            ? "answered"
         : channel.gone() || step == Step::CallerGone ? "caller-gone"
-                                                     : "failed:" + progress.trouble;
+                                                     : "failed:" + trouble;
     const CallHandle handle = progress.dispatch.handle;
     const ReplicaObservation observation = progress.observation;
     asio::post(m_control,
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -1,7 +1,5 @@
 #include "control/call_scheduler.h"
 
-#include "core/logging.h"
-
 #include <limits>
 
 namespace boragepath {
@@ -216,6 +214,7 @@
     call.dispatches += 1;
     call.tried.insert(replica->entry.id);
     call.current = replica->entry.id;
+    call.chosenBy = placementInputs(*replica, m_parts.clock.now());
     m_parts.replicas.begin(replica->entry.id);
     call.done(result);
 }
@@ -231,6 +230,7 @@
         return;
     }
     CallEnd end;
+    end.refusal = reason;
     end.outcome = std::string(refusalReasonName(reason));
     close(handle, end, [](bool) {});
     done(CallRefusal{reason, retryAfterOf(reason)});
@@ -241,6 +241,9 @@
     if (!call.current.has_value()) {
         return;
     }
+    if (observation.outcome != ReplicaObservation::Outcome::Served) {
+        logReplicaTrouble(call, observation);
+    }
     m_parts.replicas.end(*call.current, observation);
     call.current.reset();
 }
@@ -294,6 +297,47 @@
                          [answerOnce] { answerOnce(true); });
 }
 
+void CallScheduler::logReplicaTrouble(const Call &call, const ReplicaObservation &observation) const
+{
+    LogLine("attempt")
+        .add("request", call.incoming.attempt.value())
+        .add("replica", call.current->value())
+        .add("outcome", observation.trouble)
+        .add("attempt", call.dispatches)
+        .info();
+}
+
+/** The beliefs that a refusal rests on, and how old they are. */
+void CallScheduler::addRefusalInputs(const Call &call, CallRefusalReason reason,
+                                     LogLine &line) const
+{
+    switch (reason) {
+    case CallRefusalReason::StoreAway:
+        line.add("store_silent_ms", millisOf(m_parts.health.silence()));
+        break;
+    case CallRefusalReason::UnknownTurn:
+        line.add("previous", call.incoming.previousTurn.value());
+        break;
+    case CallRefusalReason::BudgetSpent:
+        line.add("budget", call.incoming.tokenBudget.value_or(0))
+            .add("most", call.incoming.mostTokens);
+        break;
+    case CallRefusalReason::NoReplica:
+        line.add("service", call.service.value())
+            .add("replicas_known",
+                 static_cast<std::int64_t>(m_parts.replicas.usable(call.service).size()))
+            .add("registry_age_ms", millisOf(m_parts.replicas.readingAge()));
+        break;
+    case CallRefusalReason::NoRoute:
+        line.add("host", call.incoming.host);
+        break;
+    case CallRefusalReason::NoConfiguration:
+    case CallRefusalReason::BadCall:
+    case CallRefusalReason::OutOfTime:
+        break;
+    }
+}
+
 void CallScheduler::logEnd(const Call &call, const CallEnd &end) const
 {
     LogLine line("call");
@@ -312,7 +356,13 @@
         for (const ReplicaId &id : call.tried) {
             tried += (tried.empty() ? "" : ",") + id.value();
         }
-        line.add("replicas", tried);
+        line.add("replicas", tried)
+            .add("own", call.chosenBy.ownRequests)
+            .add("reported", call.chosenBy.reportedRequests)
+            .add("report_age_ms", millisOf(call.chosenBy.reportAge));
+    }
+    if (end.refusal.has_value()) {
+        addRefusalInputs(call, *end.refusal, line);
     }
     line.info();
 }
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -3,10 +3,12 @@
 #include "control/ledger_relay.h"
 #include "control/replica_table.h"
 #include "control/route_table.h"
+#include "control/store_health.h"
 #include "control/turn_archive.h"
 #include "control/vm_directory.h"
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/logging.h"
 
 #include <functional>
 #include <map>
@@ -85,6 +87,8 @@
 {
     /** Its whole answer arrived. */
     bool whole = false;
+    /** Why it was refused, if it was. */
+    std::optional<CallRefusalReason> refusal = std::nullopt;
     /** Tokens handed to the caller. */
     std::int64_t tokens = 0;
     /** Data of the events, each followed by a line feed; of whole turns only. */
@@ -110,6 +114,7 @@
         LedgerRelay &ledger;
         TurnArchive &turns;
         const VmDirectory &vms;
+        const StoreHealth &health;
         ZoneId zone;
     };
 
@@ -146,6 +151,8 @@
         bool reserved = false;
         std::set<ReplicaId> tried;
         std::optional<ReplicaId> current;
+        /** What was believed of the replica as it was chosen, for the log. */
+        PlacementInputs chosenBy;
         int dispatches = 0;
         std::function<void(const CallDecision &)> done;
     };
@@ -158,7 +165,9 @@
     std::int64_t connectionShare(const PoolName &service) const;
     void record(const Call &call, const CallEnd &end, std::function<void(bool)> done);
     void releaseReplica(Call &call, const ReplicaObservation &observation);
+    void logReplicaTrouble(const Call &call, const ReplicaObservation &observation) const;
     void logEnd(const Call &call, const CallEnd &end) const;
+    void addRefusalInputs(const Call &call, CallRefusalReason reason, LogLine &line) const;
 
     Parts m_parts;
     std::shared_ptr<const RouteTable> m_table;
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -1,6 +1,7 @@
 #include "control/program_ledger.h"
 
 #include "control/backoff.h"
+#include "core/logging.h"
 
 #include <algorithm>
 #include <memory>
@@ -152,6 +153,20 @@
     }
 }
 
+void ProgramLedger::refuse(Change &change, const Program &program)
+{
+    LogLine("budget")
+        .add("request", change.claim.turn.value())
+        .add("program", change.claim.program.value())
+        .add("committed", committedTokens(program.record))
+        .add("budget", change.claim.budget)
+        .add("most", change.claim.most)
+        .add("row_version", static_cast<std::int64_t>(program.version.value()))
+        .add("outcome", "spent")
+        .info();
+    finish(change, Reservation::BudgetSpent);
+}
+
 void ProgramLedger::finish(Change &change, Reservation reservation)
 {
     m_pending -= 1;
@@ -210,7 +225,7 @@
         finish(change, Reservation::Granted);
     }
     for (Change &change : refused) {
-        finish(change, Reservation::BudgetSpent);
+        refuse(change, program);
     }
     if (mustRead) {
         readAgain(id);
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -115,6 +115,7 @@
     void onRead(const ProgramId &id, const ReadResult &result);
     void adopt(Program &program, const std::vector<StoreRow> &rows, const ProgramId &id);
     void pauseThenPump(const ProgramId &id, bool read);
+    void refuse(Change &change, const Program &program);
     void finish(Change &change, Reservation reservation);
     void forgetIdle();
 
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -95,6 +95,7 @@
 
 ReplicaTable::ReplicaTable(const Clock &clock)
     : m_clock(clock)
+    , m_readAt(clock.now())
 { }
 
 void ReplicaTable::replaceAll(const std::vector<ReplicaEntry> &entries, SteadyTime settledAt)
@@ -216,6 +217,15 @@
     return result;
 }
 
+PlacementInputs placementInputs(const ReplicaState &replica, SteadyTime now)
+{
+    PlacementInputs inputs;
+    inputs.ownRequests = replica.ownRequests;
+    inputs.reportedRequests = replica.load.running + replica.load.waiting;
+    inputs.reportAge = now - replica.loadAt;
+    return inputs;
+}
+
 const ReplicaState *choosePlacement(const ReplicaTable &table, const PlacementRequest &request,
                                     SteadyTime now)
 {
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -47,6 +47,8 @@
         Failed, ///< It broke off, answered nonsense or fell silent.
     };
     Outcome outcome = Outcome::Served;
+    /** What went wrong, for the log; empty if it was served. */
+    std::string trouble = std::string();
     /** The replica runs under another id now. */
     bool otherReplica = false;
     std::optional<ReportedLoad> load;
@@ -99,6 +101,10 @@
 public:
     explicit ReplicaTable(const Clock &clock);
 
+    /** The registry was read, or told of no change, just now. */
+    void noteReading() { m_readAt = m_clock.now(); }
+    /** How long ago the registry was last read. */
+    Duration readingAge() const { return m_clock.now() - m_readAt; }
     /** Takes over a whole reading; missing replicas are kept until the registry has settled. */
     void replaceAll(const std::vector<ReplicaEntry> &entries, SteadyTime settledAt);
     /** Takes over one changed row. */
@@ -119,8 +125,22 @@
 private:
     const Clock &m_clock;
     std::map<ReplicaId, ReplicaState> m_replicas;
+    SteadyTime m_readAt;
 };
 
+/** What a choice of a replica was based on. */
+struct PlacementInputs
+{
+    /** Requests of this VM that were under way there. */
+    std::int64_t ownRequests = 0;
+    /** Requests that the replica last reported as running or waiting. */
+    std::int64_t reportedRequests = 0;
+    /** Age of that report. */
+    Duration reportAge{0};
+};
+
+PlacementInputs placementInputs(const ReplicaState &replica, SteadyTime now);
+
 /** The replica for a request, or null if none can take it. */
 const ReplicaState *choosePlacement(const ReplicaTable &table, const PlacementRequest &request,
                                     SteadyTime now);
--- a/control/store_health.h
+++ b/control/store_health.h
@@ -24,6 +24,8 @@
     /** A call was not answered; single answers are lost while the store is well. */
     bool noteSilence();
     bool away() const { return m_away; }
+    /** How long ago the store last answered. */
+    Duration silence() const { return m_clock.now() - m_answeredAt; }
 
 private:
     bool noteFailure(bool enough);
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -9,10 +9,11 @@
 namespace boragepath {
 
 /**
- * Quantiles of durations, for the metrics page.
+ * Histograms of durations, and estimates of their quantiles, for the metrics page.
  *
- * Kept with Boost.Accumulators, so memory does not grow with the number of
- * samples. Safe to use from several threads.
+ * Buckets can be added up over VMs; the quantiles of one VM are kept with
+ * Boost.Accumulators. Memory does not grow with the number of samples. Safe to
+ * use from several threads.
  */
 class Metrics
 {
@@ -20,15 +21,15 @@
     Metrics();
     ~Metrics();
 
-    /** Adds one sample, in seconds, to the summary @p name. */
+    /** Adds one sample, in seconds, to the histogram @p name. */
     void observe(const std::string &name, double seconds);
-    /** All summaries in the Prometheus text format. */
+    /** All histograms in the Prometheus text format. */
     std::string prometheusText() const;
 
 private:
-    struct Summary;
+    struct Histogram;
     mutable std::mutex m_mutex;
-    std::map<std::string, std::unique_ptr<Summary>> m_summaries;
+    std::map<std::string, std::unique_ptr<Histogram>> m_histograms;
 };
 
 /** One line of the Prometheus text format, with its type line. */
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -118,7 +118,8 @@
     , m_ledgerRelay(
           m_clock, m_timers, m_ledger, m_vms,
           [this](const Endpoint &to, const peers::LedgerNote &note) { sendLedgerNote(to, note); })
-    , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_vms, m_settings.zone})
+    , m_scheduler(
+          {m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_vms, m_health, m_settings.zone})
     , m_registry(
           m_clock, m_timers, m_store, m_replicas,
           [this](std::shared_ptr<const RouteTable> table) { useRoutes(std::move(table)); }, seed)
--- a/operators/arguments.cpp
+++ b/operators/arguments.cpp
@@ -15,6 +15,7 @@
   boragepath [options] catalogue status
   boragepath [options] programs
   boragepath [options] explain ENTRY PROGRAM
+  boragepath explain --log LOG ID
   boragepath [options] intents list
   boragepath [options] intents resolve ENTRY PROGRAM CALL OUTCOME
   boragepath [options] budgets
@@ -30,10 +31,12 @@
   --tls             Connect with TLS.
   --json            Print JSON for machines.
   --dry-run         Show what would change and change nothing.
+  --log LOG         Log lines of all VMs in one file, or - for standard input.
   --base REVISION   Refuse the edit unless the catalogue is at this revision.
   -h --help         Show this text.
 
-OUTCOME is ran or not-run. drain begins a planned stop of the daemon that is
+explain --log tells, without a daemon, what became of a request or of all
+requests of a program. OUTCOME is ran or not-run. drain begins a planned stop of the daemon that is
 asked. Exit codes: 0 done, 1 failed, 2 bad arguments, 3 conflict with another
 edit, 4 the daemon cannot be reached.
 )";
@@ -66,6 +69,8 @@
     command.file = textOf("FILE");
     command.dryRun = arguments.at("--dry-run").asBool();
     command.base = textOf("--base");
+    command.logFile = textOf("--log");
+    command.id = textOf("ID");
     command.entry = textOf("ENTRY");
     command.program = textOf("PROGRAM");
     command.call = textOf("CALL");
--- a/operators/command_line.cpp
+++ b/operators/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "core/settings.h"
 #include "net/http_client.h"
+#include "operators/log_story.h"
 #include "operators/tables.h"
 
 #include <absl/strings/str_cat.h>
@@ -99,6 +100,33 @@
     return result;
 }
 
+/** Tells a request's story from collected logs; needs no daemon. */
+int explainFromLog(const CommandLine &command)
+{
+    std::ifstream file;
+    const bool fromFile = command.logFile != "-";
+    if (fromFile) {
+        file.open(command.logFile);
+        if (!file) {
+            std::cerr << command.logFile << ": cannot be read\n";
+            return ExitBadArguments;
+        }
+    }
+    std::size_t unreadable = 0;
+    const std::vector<LogRecord> log = readLog(fromFile ? file : std::cin, unreadable);
+    const std::string story = tellStory(log, command.id);
+    if (unreadable > 0) {
+        std::cerr << unreadable << " lines are no log lines\n";
+    }
+    if (story.empty()) {
+        std::cerr << "no line names " << command.id << "; lines beyond the rate of an event are "
+                  << "left out, see left_out\n";
+        return ExitFailed;
+    }
+    std::cout << story;
+    return ExitDone;
+}
+
 int exitCodeOf(unsigned status)
 {
     if (status == HttpOk) {
@@ -114,6 +142,9 @@
 
 int runCommand(const CommandLine &command)
 {
+    if (!command.logFile.empty()) {
+        return explainFromLog(command);
+    }
     const absl::StatusOr<Endpoint> endpoint = parseEndpoint(command.daemon);
     if (!endpoint.ok()) {
         std::cerr << "--daemon: " << endpoint.status().message() << "\n";
--- a/operators/command_line.h
+++ b/operators/command_line.h
@@ -17,6 +17,9 @@
     std::string file;
     bool dryRun = false;
     std::string base;
+    /** File with log lines, or "-"; and the id to look up in it. */
+    std::string logFile;
+    std::string id;
     std::string entry;
     std::string program;
     std::string call;
--- a/tests/operators/arguments_test.cpp
+++ b/tests/operators/arguments_test.cpp
@@ -40,4 +40,12 @@
     EXPECT_EQ(command.outcome, "not-run");
 }
 
+TEST(Arguments, AStoryIsToldFromALog)
+{
+    const CommandLine command = parseArguments({"explain", "--log", "day.log", "9f3a"});
+    EXPECT_EQ(command.subject, "explain");
+    EXPECT_EQ(command.logFile, "day.log");
+    EXPECT_EQ(command.id, "9f3a");
+}
+
 } // namespace boragepath
