--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr const char *ProgramTable = "programs";
 /** Turns of one program that end within the time that a change may be late. */
 constexpr std::size_t MaxSettled = 12;
 
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -41,6 +41,9 @@
 /** Nothing if @p text is no record. */
 std::optional<ProgramRecord> decodeProgramRecord(const std::string &text);
 
+/** The table of programs' records, one row each. */
+inline constexpr const char *ProgramTable = "programs";
+
 /** The row that keeps a program's record. */
 RowName programRow(const ProgramId &program);
 
--- a/control/route_table.cpp
+++ b/control/route_table.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
+
 namespace boragepath {
 
 const RoutePolicy *matchRoute(const RouteTable &table, std::string_view host, std::string_view path)
@@ -19,6 +21,18 @@
     return best;
 }
 
+Milliseconds longestKeepTime(const std::shared_ptr<const RouteTable> &table)
+{
+    Milliseconds longest{0};
+    if (table == nullptr) {
+        return longest;
+    }
+    for (const RoutePolicy &route : table->routes) {
+        longest = std::max(longest, route.keepTime);
+    }
+    return longest;
+}
+
 const PoolName &serviceFor(const RoutePolicy &route, std::string_view key)
 {
     std::int64_t total = 0;
--- a/control/route_table.h
+++ b/control/route_table.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -91,6 +92,9 @@
 const RoutePolicy *matchRoute(const RouteTable &table, std::string_view host,
                               std::string_view path);
 
+/** The longest time that any route keeps turns; zero without a configuration. */
+Milliseconds longestKeepTime(const std::shared_ptr<const RouteTable> &table);
+
 /** The service for a request, by the weights of the route; the same @p key gives the same one. */
 const PoolName &serviceFor(const RoutePolicy &route, std::string_view key);
 
--- a/control/turn_rows.cpp
+++ b/control/turn_rows.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr const char *TurnTable = "turns";
 /** Below the platform's limit of 65,536 bytes a row. */
 constexpr std::size_t TurnRowBytes = 49'152;
 constexpr std::size_t MaxKeyTextBytes = 128;
@@ -24,9 +23,14 @@
 
 } // namespace
 
+std::string partAt(std::size_t index)
+{
+    return absl::StrCat("p", index);
+}
+
 std::string partOf(const std::string &id)
 {
-    return absl::StrCat("p", hashOf(id) % StorePartCount);
+    return partAt(hashOf(id) % StorePartCount);
 }
 
 std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &conversation)
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -120,6 +120,9 @@
           [this](const Endpoint &to, const peers::LedgerNote &note) { sendLedgerNote(to, note); })
     , m_scheduler(
           {m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_vms, m_health, m_settings.zone})
+    , m_sweeper(
+          m_clock, m_timers, m_store, m_vms,
+          [this] { return longestKeepTime(m_scheduler.routes()); }, seed)
     , m_registry(
           m_clock, m_timers, m_store, m_replicas,
           [this](std::shared_ptr<const RouteTable> table) { useRoutes(std::move(table)); }, seed)
@@ -161,6 +164,7 @@
     readVms();
     tellOthers();
     closeStaleLinks();
+    m_sweeper.start();
     std::thread traffic([this] { m_traffic.run(); });
     m_control.run();
     m_trafficWork.reset();
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -6,6 +6,7 @@
 #include "control/ledger_relay.h"
 #include "control/program_ledger.h"
 #include "control/replica_table.h"
+#include "control/row_sweeper.h"
 #include "control/store_health.h"
 #include "control/turn_archive.h"
 #include "control/vm_directory.h"
@@ -94,6 +95,7 @@
     VmDirectory m_vms;
     LedgerRelay m_ledgerRelay;
     CallScheduler m_scheduler;
+    RowSweeper m_sweeper;
     platform::RegistryReader m_registry;
     PeerSocket m_peers;
 
