Keep conversations in segments, not whole with each turn

The store's answers, logged in a trial on a scratch copy: 507 from 48.2 s on, 14,500 of them, beside 429s of the retries. Each kept turn stored its whole conversation; at 300 kept turns/s that is 7.7 MB/s, and the store takes 400 MB in total. 507 counted as no answer.

Change: a turn's record holds what was said since the last segment; a tail of 8 KB makes the turn a segment. A turn refers to segments younger than 20 s and is else written whole, and segments are kept that much longer, so nothing a turn needs expires before it.

Before and after: twelve turns of a dialogue 321 KB, now under 101 KB (test, red before); 80 expired turns 80 transactions, now 1.

Conclusion: storage grows with what is said. At 330 VMs the rows of 60 s need a look at docs/CAPACITY.md again.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -128,7 +128,7 @@
     Call &call = m_calls[handle];
     const SteadyTime until = std::min(call.deadline, call.openedAt + StorePatience);
     m_parts.turns.find(call.incoming.previousTurn, until,
-                       [this, handle](TurnLookup lookup, const Conversation &conversation) {
+                       [this, handle](TurnLookup lookup, const KeptTurnPtr &kept) {
                            if (lookup == TurnLookup::Absent) {
                                refuse(handle, CallRefusalReason::UnknownTurn);
                                return;
@@ -137,7 +137,7 @@
                                refuse(handle, CallRefusalReason::StoreAway);
                                return;
                            }
-                           m_calls[handle].history = conversation;
+                           m_calls[handle].history = kept;
                            reserve(handle);
                        });
 }
@@ -209,7 +209,7 @@
     const auto service = call.table->services.find(call.service);
     result.tokensPerEvent =
         service == call.table->services.end() ? 0 : service->second.tokensPerEvent;
-    result.history = call.history;
+    result.history = call.history == nullptr ? nullptr : call.history->text;
     result.deadline = call.deadline;
     call.dispatches += 1;
     call.tried.insert(replica->entry.id);
@@ -281,10 +281,9 @@
 
 void CallScheduler::record(const Call &call, const CallEnd &end, std::function<void(bool)> done)
 {
-    std::string text = call.history == nullptr ? std::string() : *call.history;
+    std::string text = call.history == nullptr ? std::string() : *call.history->text;
     text += call.incoming.input == nullptr ? std::string() : *call.incoming.input;
     text += end.output;
-    const auto conversation = std::make_shared<const std::string>(std::move(text));
     const auto answered = std::make_shared<bool>(false);
     const auto answerOnce = [answered, done = std::move(done)](bool recorded) {
         if (!*answered) {
@@ -293,8 +292,8 @@
         }
     };
     m_parts.timers.after(call.deadline - m_parts.clock.now(), [answerOnce] { answerOnce(false); });
-    m_parts.turns.record(call.incoming.attempt, conversation, call.route->keepTime,
-                         [answerOnce] { answerOnce(true); });
+    m_parts.turns.record(call.incoming.attempt, call.history, std::move(text),
+                         call.route->keepTime, [answerOnce] { answerOnce(true); });
 }
 
 void CallScheduler::logReplicaTrouble(const Call &call, const ReplicaObservation &observation) const
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -147,7 +147,7 @@
         PoolName service;
         SteadyTime openedAt;
         SteadyTime deadline;
-        Conversation history;
+        KeptTurnPtr history;
         bool reserved = false;
         std::set<ReplicaId> tried;
         std::optional<ReplicaId> current;
--- a/control/row_store.h
+++ b/control/row_store.h
@@ -51,6 +51,8 @@
     std::vector<RowCondition> conditions;
     std::vector<RowPut> puts;
     std::vector<RowName> removals;
+    /** Its rows lie in several parts, which costs the store twice the time. */
+    bool acrossParts = false;
 };
 
 /** What is known of a call to the store. */
--- a/control/turn_archive.cpp
+++ b/control/turn_archive.cpp
@@ -1,16 +1,23 @@
 #include "control/turn_archive.h"
 
 #include "control/backoff.h"
+#include "core/logging.h"
 
 namespace boragepath {
 
 namespace {
 
-constexpr Milliseconds SearchRetryPause{60};
-/** A turn is dropped this much later than it must be kept; nobody compares clocks. */
-constexpr Milliseconds ExpiryMargin{15'000};
-/** Expired turns dropped at once, so that clearing up stays a trickle. */
-constexpr int MaxDropsAtOnce = 2;
+/** A turn is dropped this much later than it must be kept; nobody compares clocks closely. */
+constexpr Milliseconds ExpiryMargin{8'000};
+/** Expired rows of many parts go in one transaction; the platform's limit is 100 entries. */
+constexpr std::size_t MaxRowsAtOnce = 90;
+/** Expired turns wait this long for others to be dropped with them. */
+constexpr Milliseconds DropInterval{5'000};
+
+std::size_t bytesOf(const KeptTurnPtr &kept)
+{
+    return kept->text->size();
+}
 
 } // namespace
 
@@ -36,91 +43,214 @@
         done(TurnLookup::Absent, nullptr);
         return;
     }
+    const auto search = std::make_shared<Search>();
+    search->turn = turn;
+    search->deadline = deadline;
+    search->done = std::move(done);
+    fetch(turn, deadline, 0,
+          [this, search](TurnLookup lookup, const std::optional<TurnRecord> &record) {
+              if (!record.has_value()) {
+                  search->done(lookup, nullptr);
+                  return;
+              }
+              search->record = *record;
+              gatherSegments(search);
+          });
+}
+
+/** Reads one turn's record, again and again until it is known or too late. */
+void TurnArchive::fetch(const AttemptId &turn, SteadyTime deadline, int failures,
+                        std::function<void(TurnLookup, const std::optional<TurnRecord> &)> done)
+{
     if (m_health.away()) {
-        done(TurnLookup::StoreAway, nullptr);
+        done(TurnLookup::StoreAway, std::nullopt);
+        return;
+    }
+    m_store.read(
+        turnRange(turn),
+        [this, turn, deadline, failures, done = std::move(done)](const ReadResult &result) {
+            if (result.answer == StoreAnswer::Done && result.rows.empty()) {
+                done(TurnLookup::Absent, std::nullopt);
+                return;
+            }
+            if (result.answer == StoreAnswer::Done) {
+                const auto record = decodeTurnRecord(joinRows(result.rows));
+                if (!record.has_value()) {
+                    LogLine("turn").add("turn", turn.value()).add("outcome", "unreadable").error();
+                }
+                done(record.has_value() ? TurnLookup::Found : TurnLookup::Absent, record);
+                return;
+            }
+            const Duration pause = jitteredBackoff(failures, m_random);
+            if (m_health.away() || m_clock.now() + pause >= deadline) {
+                done(TurnLookup::StoreAway, std::nullopt);
+                return;
+            }
+            m_timers.after(pause, [this, turn, deadline, failures, done] {
+                fetch(turn, deadline, failures + 1, done);
+            });
+        });
+}
+
+void TurnArchive::gatherSegments(const std::shared_ptr<Search> &search)
+{
+    const std::vector<SegmentRef> &segments = search->record.segments;
+    std::size_t first = segments.size();
+    // A segment that is known in memory stands for all before it, too.
+    while (first > 0 && !m_kept.contains(segments[first - 1].turn)) {
+        first -= 1;
+    }
+    if (first > 0) {
+        search->known = *m_kept.at(segments[first - 1].turn)->text;
+    }
+    search->missing = segments.size() - first;
+    search->tails.resize(search->missing);
+    if (search->missing == 0) {
+        assemble(*search);
         return;
     }
-    search(turn, deadline, std::move(done));
+    for (std::size_t index = first; index < segments.size(); ++index) {
+        fetch(segments[index].turn, search->deadline, 0,
+              [this, search, place = index - first](TurnLookup lookup,
+                                                    const std::optional<TurnRecord> &record) {
+                  takeSegment(search, place, lookup, record);
+              });
+    }
 }
 
-void TurnArchive::search(const AttemptId &turn, SteadyTime deadline, Found done)
+void TurnArchive::takeSegment(const std::shared_ptr<Search> &search, std::size_t index,
+                              TurnLookup lookup, const std::optional<TurnRecord> &record)
 {
-    m_store.read(turnRange(turn), [this, turn, deadline, done](const ReadResult &result) {
-        if (result.answer == StoreAnswer::Done && result.rows.empty()) {
-            done(TurnLookup::Absent, nullptr);
-            return;
-        }
-        if (result.answer == StoreAnswer::Done) {
-            const Conversation conversation = conversationOf(result.rows);
-            keep(turn, conversation);
-            done(TurnLookup::Found, conversation);
-            return;
-        }
-        if (m_health.away() || m_clock.now() + SearchRetryPause >= deadline) {
-            done(TurnLookup::StoreAway, nullptr);
-            return;
+    if (search->ended) {
+        return;
+    }
+    if (!record.has_value()) {
+        search->ended = true;
+        if (lookup == TurnLookup::Absent) {
+            // Segments outlive the turns that need them.
+            LogLine("turn")
+                .add("turn", search->turn.value())
+                .add("outcome", "a segment is missing")
+                .error();
         }
-        m_timers.after(SearchRetryPause,
-                       [this, turn, deadline, done] { search(turn, deadline, done); });
-    });
+        search->done(lookup, nullptr);
+        return;
+    }
+    search->tails[index] = record->tail;
+    search->missing -= 1;
+    if (search->missing == 0) {
+        assemble(*search);
+    }
+}
+
+void TurnArchive::assemble(Search &search)
+{
+    std::string text = std::move(search.known);
+    for (const std::string &tail : search.tails) {
+        text += tail;
+    }
+    KeptTurn kept;
+    kept.segments = search.record.segments;
+    kept.segmentedBytes = text.size();
+    text += search.record.tail;
+    if (isSegment(search.record)) {
+        kept.segments.push_back({search.turn, search.record.recordedAtMillis});
+        kept.segmentedBytes = text.size();
+    }
+    kept.text = std::make_shared<const std::string>(std::move(text));
+    const auto shared = std::make_shared<const KeptTurn>(std::move(kept));
+    keep(search.turn, shared);
+    search.done(TurnLookup::Found, shared);
 }
 
-void TurnArchive::record(const AttemptId &turn, const Conversation &conversation, Duration keepTime,
-                         std::function<void()> done)
+void TurnArchive::record(const AttemptId &turn, const KeptTurnPtr &previous, std::string text,
+                         Duration keepTime, std::function<void()> done)
 {
     m_pending += 1;
-    write(std::make_shared<Recording>(Recording{turn, conversation, keepTime, std::move(done)}));
+    PlannedTurn planned = planTurn(turn, previous, std::move(text), unixMillis(m_clock.wallNow()));
+    write(std::make_shared<Recording>(
+        Recording{turn, std::move(planned), keepTime, std::move(done)}));
 }
 
 void TurnArchive::write(const std::shared_ptr<Recording> &recording)
 {
     RowTransaction transaction;
-    transaction.puts = turnRows(recording->turn, *recording->conversation);
+    transaction.puts = turnRows(recording->turn, encodeTurnRecord(recording->planned.record));
     const std::size_t rows = transaction.puts.size();
-    m_store.transact(
-        std::move(transaction), [this, recording, rows](const TransactionResult &result) {
-            if (result.answer != StoreAnswer::Done) {
-                // The same rows again: whether the first call took effect does not matter.
-                const Duration pause = jitteredBackoff(recording->failures, m_random);
-                recording->failures += 1;
-                m_timers.after(pause, [this, recording] { write(recording); });
-                return;
-            }
-            m_pending -= 1;
-            keep(recording->turn, recording->conversation);
-            const SteadyTime expiry = m_clock.now() + recording->keepTime + ExpiryMargin;
-            m_expiries.push_back({expiry, recording->turn, rows});
-            recording->done();
-            dropExpired();
-        });
+    m_store.transact(std::move(transaction),
+                     [this, recording, rows](const TransactionResult &result) {
+                         if (result.answer != StoreAnswer::Done) {
+                             // The same rows again: whether the first call took effect does not
+                             // matter.
+                             const Duration pause = jitteredBackoff(recording->failures, m_random);
+                             recording->failures += 1;
+                             m_timers.after(pause, [this, recording] { write(recording); });
+                             return;
+                         }
+                         m_pending -= 1;
+                         keep(recording->turn, recording->planned.kept);
+                         planExpiry(*recording, rows);
+                         recording->done();
+                     });
 }
 
-void TurnArchive::keep(const AttemptId &turn, const Conversation &conversation)
+void TurnArchive::keep(const AttemptId &turn, const KeptTurnPtr &kept)
 {
-    if (m_kept.contains(turn) || conversation->size() > m_maxBytes) {
+    if (m_kept.contains(turn) || bytesOf(kept) > m_maxBytes) {
         return;
     }
     m_ages.push_back(turn);
-    m_kept[turn] = conversation;
-    m_bytes += conversation->size();
+    m_kept[turn] = kept;
+    m_bytes += bytesOf(kept);
     while (m_bytes > m_maxBytes) {
         const auto oldest = m_kept.find(m_ages.front());
-        m_bytes -= oldest->second->size();
+        m_bytes -= bytesOf(oldest->second);
         m_kept.erase(oldest);
         m_ages.pop_front();
     }
 }
 
-/** Removes a few turns that this VM recorded and that nobody may continue from any more. */
+void TurnArchive::planExpiry(const Recording &recording, std::size_t rows)
+{
+    // The last turn that may refer to a segment must outlive its own keep time with it.
+    const Duration use =
+        isSegment(recording.planned.record) ? Milliseconds(SegmentUseMillis) : Milliseconds(0);
+    const SteadyTime due = m_clock.now() + recording.keepTime + use + ExpiryMargin;
+    m_expiries.emplace(due, Expiry{recording.turn, rows});
+    planDrop();
+}
+
+void TurnArchive::planDrop()
+{
+    if (m_dropPlanned || m_expiries.empty()) {
+        return;
+    }
+    m_dropPlanned = true;
+    const SteadyTime now = m_clock.now();
+    const SteadyTime due = std::max(m_expiries.begin()->first, now) + DropInterval;
+    m_timers.after(due - now, [this] {
+        m_dropPlanned = false;
+        dropExpired();
+        planDrop();
+    });
+}
+
+/** Removes turns that this VM recorded and that nobody may continue from any more. */
 void TurnArchive::dropExpired()
 {
-    for (int dropped = 0; dropped < MaxDropsAtOnce; ++dropped) {
-        if (m_expiries.empty() || m_clock.now() < m_expiries.front().at || m_health.away()) {
-            return;
-        }
+    const SteadyTime now = m_clock.now();
+    while (!m_health.away() && !m_expiries.empty() && m_expiries.begin()->first <= now) {
         RowTransaction transaction;
-        transaction.removals = turnRowNames(m_expiries.front().turn, m_expiries.front().rows);
-        m_expiries.pop_front();
+        transaction.acrossParts = true;
+        do {
+            const Expiry expiry = m_expiries.begin()->second;
+            m_expiries.erase(m_expiries.begin());
+            for (RowName &name : turnRowNames(expiry.turn, expiry.rows)) {
+                transaction.removals.push_back(std::move(name));
+            }
+        } while (!m_expiries.empty() && m_expiries.begin()->first <= now
+                 && transaction.removals.size() + m_expiries.begin()->second.rows <= MaxRowsAtOnce);
+        // Rows that stay, since this call fails, are swept later.
         m_store.transact(std::move(transaction), [](const TransactionResult &) {});
     }
 }
--- a/control/turn_archive.h
+++ b/control/turn_archive.h
@@ -2,7 +2,7 @@
 
 #include "control/row_store.h"
 #include "control/store_health.h"
-#include "control/turn_rows.h"
+#include "control/turn_record.h"
 #include "core/clock.h"
 
 #include <functional>
@@ -21,22 +21,28 @@
 /**
  * Keeps in the store what was said up to each turn, whichever VM serves it.
  *
- * A turn's conversation is written once, under the turn's own id, and never
- * changes: writing it again after a call without an answer does no harm, and
- * what this VM wrote or read is kept in memory within a bound of bytes.
+ * A turn's record is written once, under the turn's own id, and never changes:
+ * writing it again after a call without an answer does no harm, and what this
+ * VM wrote or read is kept in memory within a bound of bytes. A conversation lies
+ * in the records of a few turns (see planTurn), which are read side by side.
  */
 class TurnArchive
 {
 public:
-    using Found = std::function<void(TurnLookup, Conversation)>;
+    using Found = std::function<void(TurnLookup, const KeptTurnPtr &)>;
 
     TurnArchive(const Clock &clock, Timers &timers, RowStore &store, StoreHealth &health,
                 std::size_t maxBytes, std::uint64_t seed);
 
     void find(const AttemptId &turn, SteadyTime deadline, Found done);
-    /** Tries to record a turn until it is in the store; @p done comes then. */
-    void record(const AttemptId &turn, const Conversation &conversation, Duration keepTime,
-                std::function<void()> done);
+    /**
+     * Tries to record a turn until it is in the store; @p done comes then.
+     *
+     * @param previous the turn that it continues from, or null.
+     * @param text the whole conversation, this turn included.
+     */
+    void record(const AttemptId &turn, const KeptTurnPtr &previous, std::string text,
+                Duration keepTime, std::function<void()> done);
 
     /** Turns that wait for the store. */
     std::size_t pending() const { return m_pending; }
@@ -45,7 +51,7 @@
     struct Recording
     {
         AttemptId turn;
-        Conversation conversation;
+        PlannedTurn planned;
         Duration keepTime;
         std::function<void()> done;
         int failures = 0;
@@ -53,14 +59,34 @@
     /** Rows that may be dropped once their time is over. */
     struct Expiry
     {
-        SteadyTime at;
         AttemptId turn;
         std::size_t rows = 0;
     };
+    /** A lookup that waits for records. */
+    struct Search
+    {
+        AttemptId turn;
+        SteadyTime deadline;
+        Found done;
+        TurnRecord record;
+        /** Text of the segments before the missing ones. */
+        std::string known;
+        /** Tails of the segments that were not known, in order. */
+        std::vector<std::string> tails;
+        std::size_t missing = 0;
+        bool ended = false;
+    };
 
-    void search(const AttemptId &turn, SteadyTime deadline, Found done);
+    void fetch(const AttemptId &turn, SteadyTime deadline, int failures,
+               std::function<void(TurnLookup, const std::optional<TurnRecord> &)> done);
+    void gatherSegments(const std::shared_ptr<Search> &search);
+    void takeSegment(const std::shared_ptr<Search> &search, std::size_t index, TurnLookup lookup,
+                     const std::optional<TurnRecord> &record);
+    void assemble(Search &search);
     void write(const std::shared_ptr<Recording> &recording);
-    void keep(const AttemptId &turn, const Conversation &conversation);
+    void keep(const AttemptId &turn, const KeptTurnPtr &kept);
+    void planExpiry(const Recording &recording, std::size_t rows);
+    void planDrop();
     void dropExpired();
 
     const Clock &m_clock;
@@ -71,10 +97,11 @@
     std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
     std::size_t m_pending = 0;
-    std::map<AttemptId, Conversation> m_kept;
+    std::map<AttemptId, KeptTurnPtr> m_kept;
     /** Oldest first. */
     std::list<AttemptId> m_ages;
-    std::list<Expiry> m_expiries;
+    std::multimap<SteadyTime, Expiry> m_expiries;
+    bool m_dropPlanned = false;
 };
 
 } // namespace boragepath
--- a/control/turn_rows.cpp
+++ b/control/turn_rows.cpp
@@ -33,14 +33,14 @@
     return partAt(hashOf(id) % StorePartCount);
 }
 
-std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &conversation)
+std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &record)
 {
     std::vector<RowPut> rows;
     std::size_t offset = 0;
     do {
-        rows.push_back({turnRowName(turn, rows.size()), conversation.substr(offset, TurnRowBytes)});
+        rows.push_back({turnRowName(turn, rows.size()), record.substr(offset, TurnRowBytes)});
         offset += TurnRowBytes;
-    } while (offset < conversation.size());
+    } while (offset < record.size());
     return rows;
 }
 
@@ -59,13 +59,13 @@
     return {TurnTable, partOf(turn.value()), turn.value() + "/", turn.value() + "0"};
 }
 
-Conversation conversationOf(const std::vector<StoreRow> &rows)
+std::string joinRows(const std::vector<StoreRow> &rows)
 {
     std::string text;
     for (const StoreRow &row : rows) {
         text += row.value;
     }
-    return std::make_shared<const std::string>(std::move(text));
+    return text;
 }
 
 bool isRowKeyText(const std::string &text)
--- a/control/turn_rows.h
+++ b/control/turn_rows.h
@@ -26,14 +26,14 @@
 /** The part for a row that belongs to @p id. */
 std::string partOf(const std::string &id);
 
-/** The rows that keep @p conversation as the one that ends with @p turn. */
-std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &conversation);
+/** The rows that keep @p record, which may be long, under the id of @p turn. */
+std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &record);
 /** The names of a turn's rows. */
 std::vector<RowName> turnRowNames(const AttemptId &turn, std::size_t count);
 /** Where the rows of a turn lie. */
 RowRange turnRange(const AttemptId &turn);
 /** Joins the rows of a turn. */
-Conversation conversationOf(const std::vector<StoreRow> &rows);
+std::string joinRows(const std::vector<StoreRow> &rows);
 
 /** True if @p text may be part of a row's key: short, and without separators. */
 bool isRowKeyText(const std::string &text);
--- a/tests/control/turn_archive_test.cpp
+++ b/tests/control/turn_archive_test.cpp
@@ -29,21 +29,20 @@
     std::pair<TurnLookup, std::string> find(const std::string &turn)
     {
         std::optional<TurnLookup> lookup;
-        Conversation found;
+        KeptTurnPtr found;
         reader.find(AttemptId(turn), clock.now() + Seconds(1),
-                    [&](TurnLookup result, const Conversation &conversation) {
+                    [&](TurnLookup result, const KeptTurnPtr &kept) {
                         lookup = result;
-                        found = conversation;
+                        found = kept;
                     });
         timers.run(Seconds(3));
-        return {lookup.value(), found == nullptr ? std::string() : *found};
+        return {lookup.value(), found == nullptr ? std::string() : *found->text};
     }
 
     bool record(const std::string &turn, const std::string &text, Seconds keep = Seconds(60))
     {
         bool done = false;
-        writer.record(AttemptId(turn), std::make_shared<const std::string>(text), keep,
-                      [&] { done = true; });
+        writer.record(AttemptId(turn), nullptr, text, keep, [&] { done = true; });
         timers.run(Seconds(30));
         return done;
     }
@@ -102,6 +101,150 @@
     EXPECT_EQ(archives.find("new").first, TurnLookup::Found);
 }
 
+/** A dialogue whose turns come through two VMs by turns; each VM has a small memory. */
+class Dialogue
+{
+public:
+    explicit Dialogue(Archives &archives)
+        : m_archives(archives)
+    { }
+
+    /** Says something more, and checks that the VM of this turn knows all that was said before. */
+    void say(const std::string &words)
+    {
+        const AttemptId previous("turn-" + std::to_string(m_turns));
+        KeptTurnPtr before;
+        if (m_turns > 0) {
+            vm().find(previous, m_archives.clock.now() + Seconds(2),
+                      [&](TurnLookup, const KeptTurnPtr &kept) { before = kept; });
+            m_archives.timers.run(Seconds(1));
+            ASSERT_NE(before, nullptr) << previous.value();
+            ASSERT_EQ(*before->text, text);
+        }
+        m_turns += 1;
+        text += words;
+        bool done = false;
+        vm().record(AttemptId("turn-" + std::to_string(m_turns)), before, text, Seconds(60),
+                    [&] { done = true; });
+        m_archives.timers.run(Milliseconds(100));
+        ASSERT_TRUE(done);
+    }
+
+    std::string text;
+
+private:
+    TurnArchive &vm() { return m_turns % 2 == 0 ? m_archives.writer : m_archives.reader; }
+
+    Archives &m_archives;
+    int m_turns = 0;
+};
+
+std::size_t storedBytes(const MemoryRowStore &store)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, row] : store.rows()) {
+        bytes += row.value.size();
+    }
+    return bytes;
+}
+
+TEST(TurnArchive, ALongDialogueIsNotStoredWholeWithEachTurn)
+{
+    Archives archives;
+    Dialogue dialogue(archives);
+    dialogue.say(std::string(13'000, 'a'));
+    for (int turn = 0; turn < 11; ++turn) {
+        dialogue.say(std::string(2'500, static_cast<char>('b' + turn)));
+        if (testing::Test::HasFatalFailure()) {
+            return;
+        }
+    }
+    // Whole, the twelve turns take 321 KB.
+    EXPECT_LT(storedBytes(archives.store), dialogue.text.size() * 5 / 2);
+}
+
+TEST(TurnArchive, WhatATurnNeedsIsKeptAsLongAsTheTurn)
+{
+    Archives archives;
+    Dialogue dialogue(archives);
+    // Pauses of 25 s: all segments grow old while the dialogue goes on.
+    for (int turn = 0; turn < 20; ++turn) {
+        dialogue.say(std::string(9'000, static_cast<char>('a' + turn)));
+        if (testing::Test::HasFatalFailure()) {
+            return;
+        }
+        archives.timers.run(Seconds(25));
+    }
+    for (int pause = 0; pause < 3; ++pause) {
+        archives.timers.run(Seconds(55));
+        dialogue.say("later");
+    }
+}
+
+TEST(TurnArchive, ExpiredTurnsOfManyPartsGoTogether)
+{
+    Archives archives;
+    for (int turn = 0; turn < 80; ++turn) {
+        archives.writer.record(AttemptId("turn-" + std::to_string(turn)), nullptr, "text",
+                               Seconds(10), [] {});
+    }
+    archives.timers.run(Seconds(5));
+    const int before = archives.store.transactions();
+    archives.timers.run(Seconds(60));
+    EXPECT_TRUE(archives.store.rows().empty());
+    EXPECT_EQ(archives.store.transactions() - before, 1);
+}
+
+/** Dialogues that branch, through VMs with little memory, while the store is faulty. */
+RC_GTEST_PROP(TurnArchiveProperty, EveryTurnIsComposedByteForByte, (std::uint32_t seed))
+{
+    std::mt19937 random(seed);
+    Archives archives(seed);
+    struct Said
+    {
+        AttemptId turn;
+        std::string text;
+    };
+    std::vector<Said> said;
+    for (int step = 0; step < 30; ++step) {
+        archives.store.faults() = {0.1, 0.1, 0, false};
+        TurnArchive &vm = random() % 2 == 0 ? archives.writer : archives.reader;
+        KeptTurnPtr before;
+        std::string text;
+        if (!said.empty() && random() % 4 != 0) {
+            const Said previous = said[random() % said.size()];
+            vm.find(previous.turn, archives.clock.now() + Seconds(20),
+                    [&](TurnLookup, const KeptTurnPtr &kept) { before = kept; });
+            archives.timers.run(Seconds(21));
+            if (before == nullptr) {
+                continue;
+            }
+            const bool same = *before->text == previous.text;
+            RC_ASSERT(same);
+            text = previous.text;
+        }
+        text += std::string(random() % 12'000, static_cast<char>('a' + step % 26));
+        const AttemptId turn("turn-" + std::to_string(step));
+        vm.record(turn, before, text, Seconds(3'600), [&, turn, text] {
+            said.push_back({turn, text});
+        });
+        archives.timers.run(Seconds(random() % 8));
+    }
+    archives.store.faults() = {};
+    archives.timers.run(Seconds(20));
+    TurnArchive fresh(archives.clock, archives.timers, archives.store, archives.health, 0, 1);
+    for (const Said &turn : said) {
+        KeptTurnPtr found;
+        fresh.find(turn.turn, archives.clock.now() + Seconds(2),
+                   [&](TurnLookup, const KeptTurnPtr &kept) { found = kept; });
+        archives.timers.run(Seconds(1));
+        const bool wasFound = found != nullptr;
+        RC_ASSERT(wasFound);
+        const bool same = *found->text == turn.text;
+        RC_ASSERT(same);
+    }
+}
+
 RC_GTEST_PROP(TurnRowsProperty, ConversationsOfAnySizeComeBack, (std::uint32_t seed))
 {
     std::mt19937 random(seed);
@@ -114,7 +257,7 @@
         RC_ASSERT(put.value.size() <= 65'536U);
         rows.push_back({put.name, put.value, RowRevision(1), false});
     }
-    RC_ASSERT(*conversationOf(rows) == text);
+    RC_ASSERT(joinRows(rows) == text);
 }
 
 } // namespace boragepath
