Drop expired turns one by one, at a pace

Ruled out: grouping by part (a VM has one expired turn in three parts); sweeping each part every minute (reads every conversation twice more).

Change: one turn a transaction, ten a second and VM at most.

--- a/control/row_store.h
+++ b/control/row_store.h
@@ -45,14 +45,12 @@
     std::string value;
 };
 
-/** All changes or none, and none unless every condition holds. */
+/** All changes or none, and none unless every condition holds; all rows of one part. */
 struct RowTransaction
 {
     std::vector<RowCondition> conditions;
     std::vector<RowPut> puts;
     std::vector<RowName> removals;
-    /** Its rows lie in several parts, which costs the store twice the time. */
-    bool acrossParts = false;
 };
 
 /** What is known of a call to the store. */
--- a/control/turn_archive.cpp
+++ b/control/turn_archive.cpp
@@ -9,10 +9,8 @@
 
 /** A turn is dropped this much later than it must be kept; nobody compares clocks closely. */
 constexpr Milliseconds ExpiryMargin{8'000};
-/** Expired rows of many parts go in one transaction; the platform's limit is 100 entries. */
-constexpr std::size_t MaxRowsAtOnce = 90;
-/** Expired turns wait this long for others to be dropped with them. */
-constexpr Milliseconds DropInterval{5'000};
+/** A VM drops up to ten turns a second: more than it serves, and no burst for the store. */
+constexpr Milliseconds DropPause{100};
 
 std::size_t bytesOf(const KeptTurnPtr &kept)
 {
@@ -227,7 +225,7 @@
     }
     m_dropPlanned = true;
     const SteadyTime now = m_clock.now();
-    const SteadyTime due = std::max(m_expiries.begin()->first, now) + DropInterval;
+    const SteadyTime due = std::max(m_expiries.begin()->first, now) + DropPause;
     m_timers.after(due - now, [this] {
         m_dropPlanned = false;
         dropExpired();
@@ -235,24 +233,18 @@
     });
 }
 
-/** Removes turns that this VM recorded and that nobody may continue from any more. */
+/** Removes a turn that this VM recorded and that nobody may continue from any more. */
 void TurnArchive::dropExpired()
 {
-    const SteadyTime now = m_clock.now();
-    while (!m_health.away() && !m_expiries.empty() && m_expiries.begin()->first <= now) {
-        RowTransaction transaction;
-        transaction.acrossParts = true;
-        do {
-            const Expiry expiry = m_expiries.begin()->second;
-            m_expiries.erase(m_expiries.begin());
-            for (RowName &name : turnRowNames(expiry.turn, expiry.rows)) {
-                transaction.removals.push_back(std::move(name));
-            }
-        } while (!m_expiries.empty() && m_expiries.begin()->first <= now
-                 && transaction.removals.size() + m_expiries.begin()->second.rows <= MaxRowsAtOnce);
-        // Rows that stay, since this call fails, are swept later.
-        m_store.transact(std::move(transaction), [](const TransactionResult &) {});
+    if (m_health.away() || m_expiries.empty() || m_clock.now() < m_expiries.begin()->first) {
+        return;
     }
+    const Expiry expiry = m_expiries.begin()->second;
+    m_expiries.erase(m_expiries.begin());
+    RowTransaction transaction;
+    transaction.removals = turnRowNames(expiry.turn, expiry.rows);
+    // Rows that stay, since this call fails, are swept later.
+    m_store.transact(std::move(transaction), [](const TransactionResult &) {});
 }
 
 } // namespace boragepath
