Budgets by grants; turns find the replica that read their prompt

Cause: each turn cost a transaction on its program's row. Placement by hash alone made replicas uneven (14 programs on the fullest where 8 is the mean), and nobody knew where a turn that had moved was read last.

Change: the VM where a program's turns meet takes a grant of up to four turns from the row, hands it out without the store, and exchanges it, with what was spent of it, in one transaction. It stands in the row as a reservation, so the budget holds whoever dies; where only others' grants are in the way, the answer is 503, not 402. Settlements go to the VM that reserved, again until it confirms or is gone. The same notes carry which replica read the line's prompt; a new program goes to the less busy of the two replicas that its key names.

Twelve turns through four VMs: 13 transactions to 3. The test that wanted one a turn is replaced by the lower bound. Properties: VMs killed at any step, lost datagrams, faulty store; 3,000 cases. They found that a withdrawn claim could still be reserved for; mended here.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -155,7 +155,7 @@
         incoming.tokenBudget.value_or(std::numeric_limits<std::int64_t>::max());
     const TurnClaim claim{programOf(incoming), incoming.attempt, budget, incoming.mostTokens};
     const SteadyTime until = std::min(call.deadline, call.openedAt + StorePatience);
-    m_parts.ledger.reserve(claim, until, [this, handle](Reservation reservation) {
+    const auto decide = [this, handle](Reservation reservation, const ReplicaId &promptAt) {
         if (reservation == Reservation::BudgetSpent) {
             refuse(handle, CallRefusalReason::BudgetSpent);
             return;
@@ -165,8 +165,10 @@
             return;
         }
         m_calls[handle].reserved = true;
+        m_calls[handle].promptAt = promptAt;
         dispatch(handle);
-    });
+    };
+    m_parts.ledger.reserve(claim, incoming.session, until, decide);
 }
 
 std::int64_t CallScheduler::connectionShare(const PoolName &service) const
@@ -193,6 +195,7 @@
     request.maxOwnRequests = connectionShare(call.service);
     if (call.route->hasPrompt) {
         request.affinityKey = programOf(call.incoming).value();
+        request.promptAt = call.promptAt;
     }
     const ReplicaState *replica = call.dispatches < MaxDispatches
         ? choosePlacement(m_parts.replicas, request, m_parts.clock.now())
@@ -214,6 +217,7 @@
     call.dispatches += 1;
     call.tried.insert(replica->entry.id);
     call.current = replica->entry.id;
+    call.last = replica->entry.id;
     call.chosenBy = placementInputs(*replica, m_parts.clock.now());
     m_parts.replicas.begin(replica->entry.id);
     call.done(result);
@@ -270,7 +274,8 @@
     releaseReplica(call, ReplicaObservation());
     logEnd(call, end);
     if (call.reserved) {
-        m_parts.ledger.settle({programOf(call.incoming), call.incoming.attempt, end.tokens});
+        const PromptPlace place{call.incoming.session, end.whole ? call.last : ReplicaId()};
+        m_parts.ledger.settle({programOf(call.incoming), call.incoming.attempt, end.tokens}, place);
     }
     if (call.route != nullptr && call.route->keepsTurns && end.whole) {
         record(call, end, std::move(done));
@@ -292,8 +297,8 @@
         }
     };
     m_parts.timers.after(call.deadline - m_parts.clock.now(), [answerOnce] { answerOnce(false); });
-    m_parts.turns.record(call.incoming.attempt, call.history, std::move(text),
-                         call.route->keepTime, [answerOnce] { answerOnce(true); });
+    m_parts.turns.record(call.incoming.attempt, call.history, std::move(text), call.route->keepTime,
+                         [answerOnce] { answerOnce(true); });
 }
 
 void CallScheduler::logReplicaTrouble(const Call &call, const ReplicaObservation &observation) const
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -149,8 +149,11 @@
         SteadyTime deadline;
         KeptTurnPtr history;
         bool reserved = false;
+        /** The replica that has read most of the prompt; empty if it is not known. */
+        ReplicaId promptAt;
         std::set<ReplicaId> tried;
         std::optional<ReplicaId> current;
+        ReplicaId last;
         /** What was believed of the replica as it was chosen, for the log. */
         PlacementInputs chosenBy;
         int dispatches = 0;
--- a/control/ledger_relay.cpp
+++ b/control/ledger_relay.cpp
@@ -1,6 +1,7 @@
 #include "control/ledger_relay.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace boragepath {
@@ -11,7 +12,11 @@
 constexpr Milliseconds TakenLimit{25};
 /** Beyond a write to a slow store; then the other VM has likely died. */
 constexpr Milliseconds OutcomeLimit{1'600};
-constexpr Milliseconds SettledLimit{150};
+/** First pause before a settlement is told again; doubles up to the longest. */
+constexpr Milliseconds FirstRepeat{150};
+constexpr Milliseconds LongestRepeat{1'200};
+/** Programs whose prompts are remembered; about 300 bytes each. */
+constexpr std::size_t MaxLocations = 3'000;
 
 peers::LedgerNote noteOf(std::int64_t id, peers::LedgerNoteKind::type kind)
 {
@@ -43,29 +48,38 @@
 } // namespace
 
 LedgerRelay::LedgerRelay(const Clock &clock, Timers &timers, ProgramLedger &ledger,
-                         const VmDirectory &vms, Send send)
+                         BudgetGrants &grants, const VmDirectory &vms, Send send)
     : m_clock(clock)
     , m_timers(timers)
     , m_ledger(ledger)
+    , m_grants(grants)
     , m_vms(vms)
     , m_send(std::move(send))
+    , m_locations(MaxLocations)
 { }
 
-void LedgerRelay::reserve(const TurnClaim &claim, SteadyTime deadline,
-                          std::function<void(Reservation)> done)
+void LedgerRelay::reserve(const TurnClaim &claim, const std::string &session, SteadyTime deadline,
+                          Reserved done)
 {
     const std::optional<Endpoint> meeting = m_vms.meetingPoint(claim.program.value());
     if (!meeting.has_value()) {
-        m_ledger.reserve(claim, deadline, std::move(done));
+        m_grants.reserve(claim, deadline,
+                         [this, claim, session, done = std::move(done)](Reservation reservation) {
+                             if (reservation == Reservation::Granted) {
+                                 m_reservers[claim.turn] = {};
+                             }
+                             done(reservation, m_locations.find(claim.program, session));
+                         });
         return;
     }
     const std::int64_t id = m_nextId++;
-    m_questions[id] = {claim, deadline, std::move(done), false};
+    m_questions[id] = {claim, deadline, std::move(done), *meeting, false};
     peers::LedgerNote note = noteOf(id, peers::LedgerNoteKind::RESERVE);
     note.program = claim.program.value();
     note.turn = claim.turn.value();
     note.budget = claim.budget;
     note.tokens = claim.most;
+    note.session = session;
     note.patienceMillis = static_cast<std::int32_t>(millisOf(deadline - m_clock.now()));
     m_relayed += 1;
     m_send(*meeting, note);
@@ -87,71 +101,118 @@
     m_fallbacks += 1;
     Question &question = found.mapped();
     const AttemptId turn = question.claim.turn;
+    // It may have reserved, or do so yet; nothing will be handed out of that.
+    tell(question.asked, {question.claim.program, turn, 0}, {});
     TurnClaim claim = question.claim;
     claim.turn = ownNameOf(turn);
-    claim.replaces = turn;
     m_ledger.reserve(claim, question.deadline,
-                     [this, claim, turn, done = std::move(question.done)](Reservation reservation) {
+                     [this, turn, done = std::move(question.done)](Reservation reservation) {
                          if (reservation == Reservation::Granted) {
-                             m_ownReservations.insert(turn);
-                         } else {
-                             // The other VM may still reserve for a turn that is refused here.
-                             m_ledger.settle({claim.program, turn, 0});
+                             m_reservers[turn] = {std::nullopt, true};
                          }
-                         done(reservation);
+                         done(reservation, ReplicaId());
                      });
 }
 
-void LedgerRelay::settle(const TurnSettlement &settlement)
+void LedgerRelay::settle(const TurnSettlement &settlement, const PromptPlace &place)
 {
-    if (m_ownReservations.erase(settlement.turn) > 0) {
+    const auto found = m_reservers.extract(settlement.turn);
+    const Reserver reserver = found.empty() ? Reserver() : found.mapped();
+    if (reserver.inRow) {
         m_ledger.settle({settlement.program, ownNameOf(settlement.turn), settlement.tokens});
         return;
     }
-    const std::optional<Endpoint> meeting = m_vms.meetingPoint(settlement.program.value());
-    if (!meeting.has_value()) {
-        m_ledger.settle(settlement);
+    if (reserver.vm.has_value()) {
+        tell(*reserver.vm, settlement, place);
         return;
     }
+    m_grants.settle(settlement);
+    noteLocation(settlement.program, place);
+}
+
+void LedgerRelay::noteLocation(const ProgramId &program, const PromptPlace &place)
+{
+    if (!place.replica.value().empty()) {
+        m_locations.note(program, place.session, place.replica);
+    }
+}
+
+void LedgerRelay::tell(const Endpoint &to, const TurnSettlement &settlement,
+                       const PromptPlace &place)
+{
     const std::int64_t id = m_nextId++;
-    m_settlements[id] = settlement;
     peers::LedgerNote note = noteOf(id, peers::LedgerNoteKind::SETTLE);
     note.program = settlement.program.value();
     note.turn = settlement.turn.value();
     note.tokens = settlement.tokens;
-    m_send(*meeting, note);
-    m_timers.after(SettledLimit, [this, id] {
-        const auto found = m_settlements.extract(id);
-        if (!found.empty()) {
-            m_ledger.settle(found.mapped());
-        }
-    });
+    note.session = place.session;
+    note.replica = place.replica.value();
+    m_settlements[id] = {to, std::move(note), 0};
+    sendSettlement(id);
+}
+
+void LedgerRelay::sendSettlement(std::int64_t id)
+{
+    const auto found = m_settlements.find(id);
+    if (found == m_settlements.end()) {
+        return;
+    }
+    Settlement &settlement = found->second;
+    if (settlement.sent > 0 && !m_vms.livesAt(settlement.to)) {
+        // What that VM reserved stands in the row, and counts as spent.
+        m_settlements.erase(found);
+        return;
+    }
+    m_send(settlement.to, settlement.note);
+    const Milliseconds pause =
+        std::min<Milliseconds>(FirstRepeat * (1 << std::min(settlement.sent, 3)), LongestRepeat);
+    settlement.sent += 1;
+    m_timers.after(pause, [this, id] { sendSettlement(id); });
 }
 
-void LedgerRelay::answer(const Endpoint &to, std::int64_t id, peers::LedgerOutcome::type outcome)
+void LedgerRelay::answer(const Endpoint &to, std::int64_t id, peers::LedgerOutcome::type outcome,
+                         const ReplicaId &promptAt)
 {
     peers::LedgerNote note = noteOf(id, peers::LedgerNoteKind::ANSWER);
     note.outcome = outcome;
+    note.replica = promptAt.value();
     m_send(to, note);
 }
 
+void LedgerRelay::hearReserve(const Endpoint &from, const peers::LedgerNote &note)
+{
+    const TurnClaim claim{ProgramId(note.program), AttemptId(note.turn), note.budget, note.tokens};
+    const SteadyTime deadline = m_clock.now() + Milliseconds(note.patienceMillis);
+    const auto decided = std::make_shared<bool>(false);
+    m_grants.reserve(claim, deadline,
+                     [this, from, decided, id = note.id, program = claim.program,
+                      session = note.session](Reservation reservation) {
+                         *decided = true;
+                         answer(from, id, outcomeOf(reservation),
+                                m_locations.find(program, session));
+                     });
+    if (!*decided) {
+        answer(from, note.id, peers::LedgerOutcome::TAKEN);
+    }
+}
+
 void LedgerRelay::hear(const Endpoint &from, const peers::LedgerNote &note)
 {
     if (note.kind == peers::LedgerNoteKind::RESERVE) {
-        answer(from, note.id, peers::LedgerOutcome::TAKEN);
-        const TurnClaim claim{ProgramId(note.program), AttemptId(note.turn), note.budget,
-                              note.tokens};
-        const SteadyTime deadline = m_clock.now() + Milliseconds(note.patienceMillis);
-        m_ledger.reserve(claim, deadline, [this, from, id = note.id](Reservation reservation) {
-            answer(from, id, outcomeOf(reservation));
-        });
+        hearReserve(from, note);
         return;
     }
     if (note.kind == peers::LedgerNoteKind::SETTLE) {
+        m_grants.settle({ProgramId(note.program), AttemptId(note.turn), note.tokens});
+        noteLocation(ProgramId(note.program), {note.session, ReplicaId(note.replica)});
         answer(from, note.id, peers::LedgerOutcome::TAKEN);
-        m_ledger.settle({ProgramId(note.program), AttemptId(note.turn), note.tokens});
         return;
     }
+    hearAnswer(note);
+}
+
+void LedgerRelay::hearAnswer(const peers::LedgerNote &note)
+{
     if (m_settlements.erase(note.id) > 0) {
         return;
     }
@@ -168,10 +229,14 @@
         fallBack(note.id);
         return;
     }
-    const auto done = std::move(found->second.done);
+    const Question question = std::move(found->second);
     m_questions.erase(found);
-    done(note.outcome == peers::LedgerOutcome::GRANTED ? Reservation::Granted
-                                                       : Reservation::BudgetSpent);
+    if (note.outcome == peers::LedgerOutcome::GRANTED) {
+        m_reservers[question.claim.turn] = {question.asked, false};
+        question.done(Reservation::Granted, ReplicaId(note.replica));
+        return;
+    }
+    question.done(Reservation::BudgetSpent, ReplicaId());
 }
 
 } // namespace boragepath
--- a/control/ledger_relay.h
+++ b/control/ledger_relay.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "control/budget_grants.h"
 #include "control/program_ledger.h"
+#include "control/prompt_locations.h"
 #include "control/vm_directory.h"
 #include "core/clock.h"
 #include "peers/gen/messages_types.h"
@@ -9,34 +11,48 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
+#include <string>
 
 namespace boragepath {
 
+/** A line of turns, and the replica that read its prompt. */
+struct PromptPlace
+{
+    std::string session;
+    /** Empty if no replica has read it whole. */
+    ReplicaId replica;
+};
+
 /**
  * Takes changes of a program's budget to the VM where they meet the others.
  *
  * Serves the load pattern of a program whose turns come through many VMs: each
  * would find the row changed by another one and have to write twice. The VM
- * that rendezvous hashing names combines them into one transaction a turn. It
- * owns nothing: it applies the store's conditions like any other VM, and where
- * it does not answer, this VM does so itself. A change made twice takes effect
- * once, since a reservation carries its turn and a settlement needs it.
+ * that rendezvous hashing names combines them, hands them out of its grant, and
+ * tells where the program's prompt lies. It owns nothing: its grant stands in the
+ * store's row, and where it does not answer, this VM makes a reservation of its
+ * own in that row. What a turn handed out is told to the VM that reserved for it,
+ * again and again while that VM lives; the grant of one that died counts as spent.
  */
 class LedgerRelay
 {
 public:
     using Send = std::function<void(const Endpoint &to, const peers::LedgerNote &note)>;
+    /** Comes with the replica that lately read the line's prompt, or an empty id. */
+    using Reserved = std::function<void(Reservation, const ReplicaId &promptAt)>;
 
-    LedgerRelay(const Clock &clock, Timers &timers, ProgramLedger &ledger, const VmDirectory &vms,
-                Send send);
+    LedgerRelay(const Clock &clock, Timers &timers, ProgramLedger &ledger, BudgetGrants &grants,
+                const VmDirectory &vms, Send send);
 
-    void reserve(const TurnClaim &claim, SteadyTime deadline,
-                 std::function<void(Reservation)> done);
-    void settle(const TurnSettlement &settlement);
+    void reserve(const TurnClaim &claim, const std::string &session, SteadyTime deadline,
+                 Reserved done);
+    void settle(const TurnSettlement &settlement, const PromptPlace &place);
     /** Takes a note of the VM at @p from. */
     void hear(const Endpoint &from, const peers::LedgerNote &note);
 
+    /** Settlements that the VM which reserved has not confirmed yet. */
+    std::size_t unconfirmed() const { return m_settlements.size(); }
     /** Counts for the metrics page; safe from any thread. */
     std::uint64_t relayed() const { return m_relayed; }
     std::uint64_t fallbacks() const { return m_fallbacks; }
@@ -46,23 +62,45 @@
     {
         TurnClaim claim;
         SteadyTime deadline;
-        std::function<void(Reservation)> done;
+        Reserved done;
+        Endpoint asked;
         /** The other VM has said that it is at it. */
         bool taken = false;
     };
+    /** Who reserved for a turn under way. */
+    struct Reserver
+    {
+        /** Another VM, or none. */
+        std::optional<Endpoint> vm;
+        /** This VM, in the row itself, after the other one did not answer. */
+        bool inRow = false;
+    };
+    struct Settlement
+    {
+        Endpoint to;
+        peers::LedgerNote note;
+        int sent = 0;
+    };
 
     void fallBack(std::int64_t id);
-    void answer(const Endpoint &to, std::int64_t id, peers::LedgerOutcome::type outcome);
+    void tell(const Endpoint &to, const TurnSettlement &settlement, const PromptPlace &place);
+    void sendSettlement(std::int64_t id);
+    void hearReserve(const Endpoint &from, const peers::LedgerNote &note);
+    void hearAnswer(const peers::LedgerNote &note);
+    void answer(const Endpoint &to, std::int64_t id, peers::LedgerOutcome::type outcome,
+                const ReplicaId &promptAt = ReplicaId());
+    void noteLocation(const ProgramId &program, const PromptPlace &place);
 
     const Clock &m_clock;
     Timers &m_timers;
     ProgramLedger &m_ledger;
+    BudgetGrants &m_grants;
     const VmDirectory &m_vms;
     Send m_send;
+    PromptLocations m_locations;
     std::map<std::int64_t, Question> m_questions;
-    std::map<std::int64_t, TurnSettlement> m_settlements;
-    /** Turns whose reservation this VM made itself after the other one did not answer. */
-    std::set<AttemptId> m_ownReservations;
+    std::map<std::int64_t, Settlement> m_settlements;
+    std::map<AttemptId, Reserver> m_reservers;
     std::int64_t m_nextId = 1;
     std::atomic<std::uint64_t> m_relayed = 0;
     std::atomic<std::uint64_t> m_fallbacks = 0;
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -20,6 +20,16 @@
 constexpr std::size_t MaxPending = 4'000;
 constexpr std::size_t MaxChangesAtOnce = 32;
 
+/** What a claim reserves: a grant takes at most half of what is left, if that will do. */
+std::int64_t amountFor(const TurnClaim &claim, const ProgramRecord &record)
+{
+    if (claim.least == 0) {
+        return claim.most;
+    }
+    const std::int64_t left = claim.budget - committedTokens(record);
+    return std::max(claim.least, std::min(claim.most, left / 2));
+}
+
 } // namespace
 
 ProgramLedger::ProgramLedger(const Clock &clock, Timers &timers, RowStore &store,
@@ -85,6 +95,16 @@
     });
 }
 
+std::int64_t ProgramLedger::reservedFor(const ProgramId &program, const AttemptId &turn) const
+{
+    const auto found = m_programs.find(program);
+    if (found == m_programs.end()) {
+        return 0;
+    }
+    const auto reserved = found->second.record.reserved.find(turn);
+    return reserved == found->second.record.reserved.end() ? 0 : reserved->second;
+}
+
 void ProgramLedger::flush()
 {
     std::vector<ProgramId> waiting;
@@ -192,15 +212,19 @@
         return Fate::Done;
     }
     ProgramRecord changed = record;
-    const AttemptId &replaced = change.claim.replaces;
-    if (!replaced.value().empty() && !isSettled(changed, replaced)) {
-        settleTurn(changed, replaced, 0);
+    const TurnClaim &claim = change.claim;
+    if (!claim.replaces.value().empty() && !isSettled(changed, claim.replaces)) {
+        settleTurn(changed, claim.replaces, claim.replacedTokens);
     }
-    if (reserveTurn(changed, turn, change.claim.most, change.claim.budget)) {
+    const std::int64_t needed = claim.least > 0 ? claim.least : claim.most;
+    if (reserveTurn(changed, turn, amountFor(claim, changed), claim.budget)) {
         record = std::move(changed);
         return Fate::Written;
     }
-    return program.fresh ? Fate::Refused : Fate::Unclear;
+    if (!program.fresh) {
+        return Fate::Unclear;
+    }
+    return firmTokens(changed) + needed > claim.budget ? Fate::Refused : Fate::Blocked;
 }
 
 void ProgramLedger::send(const ProgramId &id, Program &program)
@@ -210,6 +234,7 @@
     std::list<Change> sent;
     std::list<Change> done;
     std::list<Change> refused;
+    std::list<Change> blocked;
     while (!program.queue.empty() && sent.size() < MaxChangesAtOnce) {
         const Fate fate = apply(program.queue.front(), program, record);
         if (fate == Fate::Unclear) {
@@ -217,16 +242,20 @@
         }
         std::list<Change> &goesTo = fate == Fate::Written ? sent
             : fate == Fate::Done                          ? done
+            : fate == Fate::Blocked                       ? blocked
                                                           : refused;
         goesTo.splice(goesTo.end(), program.queue, program.queue.begin());
     }
-    const bool mustRead = sent.empty() && done.empty() && refused.empty();
+    const bool mustRead = sent.empty() && done.empty() && refused.empty() && blocked.empty();
     for (Change &change : done) {
         finish(change, Reservation::Granted);
     }
     for (Change &change : refused) {
         refuse(change, program);
     }
+    for (Change &change : blocked) {
+        finish(change, Reservation::StoreAway);
+    }
     if (mustRead) {
         readAgain(id);
         return;
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -29,8 +29,12 @@
     std::int64_t budget = 0;
     /** The most that this turn hands out. */
     std::int64_t most = 0;
-    /** An earlier reservation for the same turn that must not count any more, or empty. */
+    /** An earlier reservation that must not count any more, or empty. */
     AttemptId replaces = AttemptId();
+    /** What was handed out by that reservation. */
+    std::int64_t replacedTokens = 0;
+    /** Of a grant: less than most will do, but not less than this; 0 for turns. */
+    std::int64_t least = 0;
 };
 
 /** What one turn handed out. */
@@ -62,6 +66,8 @@
                  std::function<void(Reservation)> done);
     /** Is tried until it is in the store; nobody waits for it. */
     void settle(const TurnSettlement &settlement);
+    /** Tokens that a reservation that was granted covers. */
+    std::int64_t reservedFor(const ProgramId &program, const AttemptId &turn) const;
     /** Sends what waits for a later turn to go with, for example before a stop. */
     void flush();
 
@@ -99,6 +105,7 @@
         Written, ///< It goes into the next transaction.
         Done, ///< The row shows that it took effect before.
         Refused, ///< The budget does not cover it.
+        Blocked, ///< Grants of other VMs stand in its way, and may be given back soon.
         Unclear, ///< The row must be read first.
     };
 
--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -3,6 +3,8 @@
 #include "control/turn_rows.h"
 #include "core/json_access.h"
 
+#include <absl/strings/match.h>
+
 #include <algorithm>
 
 namespace boragepath {
@@ -14,6 +16,9 @@
 /** Turns of one program that end within the time that a change may be late. */
 constexpr std::size_t MaxSettled = 12;
 
+/** No id that can be a row's key holds a blank. */
+constexpr const char *GrantPrefix = "grant ";
+
 } // namespace
 
 bool isSettled(const ProgramRecord &record, const AttemptId &turn)
@@ -51,6 +56,22 @@
     return total;
 }
 
+std::int64_t firmTokens(const ProgramRecord &record)
+{
+    std::int64_t total = record.spent;
+    for (const auto &[turn, most] : record.reserved) {
+        if (!absl::StartsWith(turn.value(), GrantPrefix)) {
+            total += most;
+        }
+    }
+    return total;
+}
+
+AttemptId grantName(const std::string &holder)
+{
+    return AttemptId(GrantPrefix + holder);
+}
+
 std::string encodeProgramRecord(const ProgramRecord &record)
 {
     json::object reserved;
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -36,6 +36,11 @@
 bool isSettled(const ProgramRecord &record, const AttemptId &turn);
 /** Spent and reserved tokens together. */
 std::int64_t committedTokens(const ProgramRecord &record);
+/** The same without grants, whose holders will give back what they do not use. */
+std::int64_t firmTokens(const ProgramRecord &record);
+
+/** The name of a VM's grant in a record, unlike the id of any turn. */
+AttemptId grantName(const std::string &holder);
 
 std::string encodeProgramRecord(const ProgramRecord &record);
 /** Nothing if @p text is no record. */
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -18,6 +18,8 @@
 constexpr double NewSampleWeight = 0.3;
 /** A replica this much slower than the middle one loses its affinity. */
 constexpr double SlowFactor = 1.8;
+/** The second choice for a new prompt is taken if the first costs this much more. */
+constexpr double BusierBy = 0.1;
 /** Part of its slots up to which a replica keeps requests by affinity. */
 constexpr double AffinityFill = 0.7;
 /** Another zone costs two crossings; counted as a part of a request's own service time. */
@@ -226,6 +228,53 @@
     return inputs;
 }
 
+namespace {
+
+/** What a replica costs a request: its fill and its slowness. */
+double costOf(const ReplicaState &replica, Duration middle, SteadyTime now)
+{
+    return (1 + fillOf(replica, now)) * slownessOf(replica, middle, now);
+}
+
+/**
+ * The replica for a prompt: the one that has read it, else one of the two that all
+ * VMs think of first for its key. Null if these have no room.
+ */
+const ReplicaState *promptHome(const std::vector<const ReplicaState *> &healthy,
+                               const PlacementRequest &request, Duration middle, SteadyTime now)
+{
+    const ReplicaState *first = nullptr;
+    const ReplicaState *second = nullptr;
+    std::uint64_t firstWeight = 0;
+    std::uint64_t secondWeight = 0;
+    for (const ReplicaState *replica : healthy) {
+        const bool fits =
+            fillOf(*replica, now) < AffinityFill && slownessOf(*replica, middle, now) < SlowFactor;
+        if (!fits || request.affinityKey.empty()) {
+            continue;
+        }
+        if (replica->entry.id == request.promptAt) {
+            return replica;
+        }
+        const std::uint64_t weight =
+            rendezvousWeight(request.affinityKey, replica->entry.id.value());
+        if (first == nullptr || weight > firstWeight) {
+            second = first;
+            secondWeight = firstWeight;
+            first = replica;
+            firstWeight = weight;
+        } else if (second == nullptr || weight > secondWeight) {
+            second = replica;
+            secondWeight = weight;
+        }
+    }
+    const bool secondIsBetter =
+        second != nullptr && costOf(*second, middle, now) + BusierBy < costOf(*first, middle, now);
+    return secondIsBetter ? second : first;
+}
+
+} // namespace
+
 const ReplicaState *choosePlacement(const ReplicaTable &table, const PlacementRequest &request,
                                     SteadyTime now)
 {
@@ -248,30 +297,16 @@
                                      return left->avoidedUntil < right->avoidedUntil;
                                  });
     }
-    if (!request.affinityKey.empty()) {
-        const ReplicaState *best = nullptr;
-        std::uint64_t bestWeight = 0;
-        for (const ReplicaState *replica : healthy) {
-            const std::uint64_t weight =
-                rendezvousWeight(request.affinityKey, replica->entry.id.value());
-            const bool fits = fillOf(*replica, now) < AffinityFill
-                && slownessOf(*replica, middle, now) < SlowFactor;
-            if (fits && (best == nullptr || weight > bestWeight)) {
-                best = replica;
-                bestWeight = weight;
-            }
-        }
-        if (best != nullptr) {
-            return best;
-        }
+    if (const ReplicaState *home = promptHome(healthy, request, middle, now)) {
+        return home;
     }
-    const auto costOf = [&](const ReplicaState *replica) {
+    const auto costHere = [&](const ReplicaState *replica) {
         const double zoneCost = replica->entry.zone == request.zone ? 0 : OtherZoneCost;
-        return (1 + fillOf(*replica, now)) * slownessOf(*replica, middle, now) + zoneCost;
+        return costOf(*replica, middle, now) + zoneCost;
     };
     return *std::min_element(healthy.begin(), healthy.end(),
                              [&](const ReplicaState *left, const ReplicaState *right) {
-                                 return costOf(left) < costOf(right);
+                                 return costHere(left) < costHere(right);
                              });
 }
 
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -81,6 +81,8 @@
 struct PlacementRequest
 {
     PoolName service;
+    /** The replica that has read most of the prompt; empty if it is not known. */
+    ReplicaId promptAt = ReplicaId();
     /** Requests with the same key are best served by the same replica; empty if that is idle. */
     std::string affinityKey;
     /** Replicas already tried. */
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -173,6 +173,13 @@
     return candidates[m_random() % candidates.size()];
 }
 
+bool VmDirectory::livesAt(const Endpoint &peers) const
+{
+    return std::any_of(m_others.begin(), m_others.end(), [&](const auto &item) {
+        return item.second.peers == peers && lives(item.second);
+    });
+}
+
 std::size_t VmDirectory::liveCount() const
 {
     const auto live = std::count_if(m_others.begin(), m_others.end(),
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -64,6 +64,8 @@
     std::vector<Endpoint> addressesFor(const ZoneId &zone) const;
     /** The live VM where work on @p item meets, or nothing if that is this one. */
     std::optional<Endpoint> meetingPoint(const std::string &item) const;
+    /** True if the VM that other VMs reach at @p peers lives. */
+    bool livesAt(const Endpoint &peers) const;
     /** VMs that live, this one included. */
     std::size_t liveCount() const;
     const VmEntry &self() const { return m_self; }
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -81,6 +81,12 @@
                                     / ConversationMemoryPart);
 }
 
+/** Names this incarnation of this VM in the rows of programs. */
+std::string grantHolder(const VmEntry &self)
+{
+    return absl::StrCat(self.vm.value(), "/", self.incarnation);
+}
+
 HttpLimits smallLimits()
 {
     HttpLimits limits;
@@ -115,8 +121,9 @@
     , m_ledger(m_clock, m_timers, m_store, m_health, seed)
     , m_turns(m_clock, m_timers, m_store, m_health, conversationBytes(m_settings), seed)
     , m_vms(m_clock, selfEntry(m_settings, m_clock), seed)
+    , m_grants(m_clock, m_timers, m_ledger, m_health, grantHolder(m_vms.self()))
     , m_ledgerRelay(
-          m_clock, m_timers, m_ledger, m_vms,
+          m_clock, m_timers, m_ledger, m_grants, m_vms,
           [this](const Endpoint &to, const peers::LedgerNote &note) { sendLedgerNote(to, note); })
     , m_scheduler(
           {m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_vms, m_health, m_settings.zone})
@@ -219,9 +226,13 @@
 void PlatformDaemon::finishStop()
 {
     const Duration since = m_clock.now() - *m_stopBegan;
+    const bool served = m_front.requestsUnderWay() == 0;
+    if (served && since >= ShortestStop) {
+        m_grants.closeAll();
+    }
     m_ledger.flush();
-    const bool idle =
-        m_front.requestsUnderWay() == 0 && m_ledger.pending() == 0 && m_turns.pending() == 0;
+    const bool idle = served && m_ledger.pending() == 0 && m_turns.pending() == 0
+        && m_ledgerRelay.unconfirmed() == 0;
     if ((idle && since >= ShortestStop) || since >= m_settings.stopGrace - StopMargin) {
         LogLine("stopped")
             .add("calls", m_front.requestsUnderWay())
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -93,6 +93,7 @@
     ProgramLedger m_ledger;
     TurnArchive m_turns;
     VmDirectory m_vms;
+    BudgetGrants m_grants;
     LedgerRelay m_ledgerRelay;
     CallScheduler m_scheduler;
     RowSweeper m_sweeper;
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -1872,6 +1872,14 @@
 void LedgerNote::__set_outcome(const LedgerOutcome::type val) {
   this->outcome = val;
 }
+
+void LedgerNote::__set_session(const std::string& val) {
+  this->session = val;
+}
+
+void LedgerNote::__set_replica(const std::string& val) {
+  this->replica = val;
+}
 std::ostream& operator<<(std::ostream& out, const LedgerNote& obj)
 {
   obj.printTo(out);
@@ -1968,6 +1976,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          this->__isset.session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->replica);
+          this->__isset.replica = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2017,6 +2041,14 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replica", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->replica);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2032,6 +2064,8 @@
   swap(a.tokens, b.tokens);
   swap(a.patienceMillis, b.patienceMillis);
   swap(a.outcome, b.outcome);
+  swap(a.session, b.session);
+  swap(a.replica, b.replica);
   swap(a.__isset, b.__isset);
 }
 
@@ -2044,6 +2078,8 @@
   tokens = other49.tokens;
   patienceMillis = other49.patienceMillis;
   outcome = other49.outcome;
+  session = other49.session;
+  replica = other49.replica;
   __isset = other49.__isset;
 }
 LedgerNote& LedgerNote::operator=(const LedgerNote& other50) {
@@ -2055,6 +2091,8 @@
   tokens = other50.tokens;
   patienceMillis = other50.patienceMillis;
   outcome = other50.outcome;
+  session = other50.session;
+  replica = other50.replica;
   __isset = other50.__isset;
   return *this;
 }
@@ -2069,6 +2107,8 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "patienceMillis=" << to_string(patienceMillis);
   out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "session=" << to_string(session);
+  out << ", " << "replica=" << to_string(replica);
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -772,7 +772,7 @@
 std::ostream& operator<<(std::ostream& out, const RegistryCopy& obj);
 
 typedef struct _LedgerNote__isset {
-  _LedgerNote__isset() : id(false), kind(false), program(false), turn(false), budget(false), tokens(false), patienceMillis(false), outcome(false) {}
+  _LedgerNote__isset() : id(false), kind(false), program(false), turn(false), budget(false), tokens(false), patienceMillis(false), outcome(false), session(false), replica(false) {}
   bool id :1;
   bool kind :1;
   bool program :1;
@@ -781,6 +781,8 @@
   bool tokens :1;
   bool patienceMillis :1;
   bool outcome :1;
+  bool session :1;
+  bool replica :1;
 } _LedgerNote__isset;
 
 class LedgerNote : public virtual ::apache::thrift::TBase {
@@ -796,7 +798,9 @@
                budget(0),
                tokens(0),
                patienceMillis(0),
-               outcome(static_cast<LedgerOutcome::type>(0)) {
+               outcome(static_cast<LedgerOutcome::type>(0)),
+               session(),
+               replica() {
   }
 
   virtual ~LedgerNote() noexcept;
@@ -816,6 +820,8 @@
    * @see LedgerOutcome
    */
   LedgerOutcome::type outcome;
+  std::string session;
+  std::string replica;
 
   _LedgerNote__isset __isset;
 
@@ -835,6 +841,10 @@
 
   void __set_outcome(const LedgerOutcome::type val);
 
+  void __set_session(const std::string& val);
+
+  void __set_replica(const std::string& val);
+
   bool operator == (const LedgerNote & rhs) const
   {
     if (!(id == rhs.id))
@@ -853,6 +863,10 @@
       return false;
     if (!(outcome == rhs.outcome))
       return false;
+    if (!(session == rhs.session))
+      return false;
+    if (!(replica == rhs.replica))
+      return false;
     return true;
   }
   bool operator != (const LedgerNote &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -144,6 +144,10 @@
     // The asker needs the answer within this time.
     7: i32 patienceMillis;
     8: LedgerOutcome outcome;
+    // One line of turns within the program.
+    9: string session;
+    // The replica that last read the prompt of that line, if it is known.
+    10: string replica;
 }
 
 // One datagram.
