A soak of real daemons under faults, on the platform's protocols

Ruled out: the product's own stand-in (it speaks its own interface and the etcd API); faults inside the daemons (they are brought from outside).

--- /dev/null
+++ b/misc/soak.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Soaks real daemons in faults and checks the promises meanwhile.
+# Usage: misc/soak.sh BUILD_FOLDER [--seed N] [--minutes M | --seconds S] [--count C] [--vms V]
+#
+# Runs C seeds from N on, one after the other. Logs of a seed that failed stay in
+# BUILD_FOLDER/soak/SEED; `boragepath explain --log` reads them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build_folder=$1
+shift
+seed=1
+seconds=60
+count=1
+options=()
+while [ $# -gt 0 ]; do
+    case "$1" in
+    --seed) seed=$2 ;;
+    --minutes) seconds=$(($2 * 60)) ;;
+    --seconds) seconds=$2 ;;
+    --count) count=$2 ;;
+    *) options+=("$1" "$2") ;;
+    esac
+    shift 2
+done
+
+# Runs at the same time use loopback addresses of their own.
+network=$((20 + $$ % 230))
+failed=()
+for number in $(seq "$seed" $((seed + count - 1))); do
+    folder="$build_folder/soak/$number"
+    rm -rf "$folder"
+    mkdir -p "$folder"
+    if "$build_folder/boragepath-soak" --daemon "$build_folder/boragepathd-platform" \
+        --folder "$folder" --seed "$number" --seconds "$seconds" --network "$network" \
+        "${options[@]}"; then
+        rm -rf "$folder"
+    else
+        failed+=("$number")
+    fi
+done
+if [ "${#failed[@]}" -gt 0 ]; then
+    echo "failed seeds: ${failed[*]}"
+    exit 1
+fi
--- /dev/null
+++ b/standin/link_proxy.cpp
@@ -0,0 +1,115 @@
+#include "standin/link_proxy.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace boragepath {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t PartSize = 16'384;
+
+/** Ends a connection with a reset instead of an ordinary close. */
+void reset(tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace
+
+LinkProxy::LinkProxy(asio::io_context &context, const Endpoint &listenAt, Endpoint target)
+    : m_context(context)
+    , m_acceptor(context, {asio::ip::make_address(listenAt.address), listenAt.port})
+    , m_target(std::move(target))
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+}
+
+void LinkProxy::resetAll()
+{
+    for (const auto &open : m_open) {
+        if (const Socket socket = open.lock()) {
+            reset(*socket);
+        }
+    }
+    m_open.clear();
+}
+
+asio::awaitable<void> LinkProxy::accept()
+{
+    for (;;) {
+        boost::system::error_code error;
+        auto caller = std::make_shared<tcp::socket>(
+            co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error)));
+        if (error) {
+            continue;
+        }
+        if (m_faults->refuses) {
+            reset(*caller);
+            continue;
+        }
+        asio::co_spawn(m_context, serve(caller), asio::detached);
+    }
+}
+
+asio::awaitable<void> LinkProxy::serve(Socket caller)
+{
+    const auto target = std::make_shared<tcp::socket>(m_context);
+    boost::system::error_code error;
+    const tcp::endpoint address(asio::ip::make_address(m_target.address), m_target.port);
+    co_await target->async_connect(address, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        reset(*caller);
+        co_return;
+    }
+    std::erase_if(m_open, [](const auto &open) { return open.expired(); });
+    m_open.push_back(caller);
+    m_open.push_back(target);
+    asio::co_spawn(m_context, pass(caller, target, m_faults, true), asio::detached);
+    co_await pass(target, caller, m_faults, false);
+}
+
+asio::awaitable<void> LinkProxy::pass(Socket from, Socket to, std::shared_ptr<LinkFaults> faults,
+                                      bool towards)
+{
+    std::array<char, PartSize> part{};
+    // A connection that lost bytes delivers nothing further.
+    bool lost = false;
+    for (;;) {
+        boost::system::error_code error;
+        const std::size_t size = co_await from->async_read_some(
+            asio::buffer(part), asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            break;
+        }
+        if (faults->delay.count() > 0) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, faults->delay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        lost = lost || (towards ? faults->silentTowards : faults->silentBack);
+        if (lost) {
+            continue;
+        }
+        co_await asio::async_write(*to, asio::buffer(part.data(), size),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            break;
+        }
+    }
+    boost::system::error_code ignored;
+    to->close(ignored);
+    from->close(ignored);
+}
+
+} // namespace boragepath
--- a/tests/support/memory_row_store.cpp
+++ b/tests/support/memory_row_store.cpp
@@ -22,39 +22,6 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
 }
 
-TransactionResult MemoryRowStore::apply(const RowTransaction &transaction)
-{
-    TransactionResult result;
-    result.answer = StoreAnswer::Done;
-    for (const RowCondition &condition : transaction.conditions) {
-        const auto found = m_rows.find(condition.name);
-        const RowRevision version = found == m_rows.end() ? RowRevision(0) : found->second.version;
-        if (version != condition.version) {
-            result.answer = StoreAnswer::Conflict;
-        }
-        if (found != m_rows.end()) {
-            result.current.push_back(found->second);
-        }
-    }
-    if (result.answer == StoreAnswer::Conflict) {
-        result.version = RowRevision(m_version);
-        return result;
-    }
-    result.current.clear();
-    m_version += 1;
-    for (const RowPut &put : transaction.puts) {
-        const StoreRow row{put.name, put.value, RowRevision(m_version), false};
-        m_rows[put.name] = row;
-        m_history[m_version] = row;
-    }
-    for (const RowName &name : transaction.removals) {
-        m_rows.erase(name);
-        m_history[m_version] = {name, "", RowRevision(m_version), true};
-    }
-    result.version = RowRevision(m_version);
-    return result;
-}
-
 void MemoryRowStore::transact(RowTransaction transaction,
                               std::function<void(const TransactionResult &)> done)
 {
@@ -74,13 +41,14 @@
     if (isLate) {
         std::uniform_int_distribution<Duration::rep> delay(Duration(EarliestLate).count(),
                                                            Duration(LatestLate).count());
-        m_timers.after(Duration(delay(m_random)), [this, transaction] { apply(transaction); });
+        m_timers.after(Duration(delay(m_random)),
+                       [this, transaction] { m_table.apply(transaction); });
         m_timers.after(CallTimeout, [done, unknown] { done(unknown); });
         return;
     }
     const bool answered = !happens(m_faults.unanswered);
     m_timers.after(WriteTime, [this, transaction, done, answered] {
-        const TransactionResult result = apply(transaction);
+        const TransactionResult result = m_table.apply(transaction);
         if (answered) {
             done(result);
         }
@@ -90,19 +58,6 @@
     }
 }
 
-std::vector<StoreRow> MemoryRowStore::rowsIn(const RowRange &range) const
-{
-    std::vector<StoreRow> rows;
-    for (const auto &[name, row] : m_rows) {
-        const bool inside = name.table == range.table && name.part == range.part
-            && name.key >= range.from && (range.to.empty() || name.key < range.to);
-        if (inside) {
-            rows.push_back(row);
-        }
-    }
-    return rows;
-}
-
 void MemoryRowStore::read(RowRange range, std::function<void(const ReadResult &)> done)
 {
     if (m_faults.away) {
@@ -114,8 +69,8 @@
         ReadResult result;
         result.answer = refused ? StoreAnswer::NotDone : StoreAnswer::Done;
         if (!refused) {
-            result.rows = rowsIn(range);
-            result.version = RowRevision(m_version);
+            result.rows = m_table.range(range);
+            result.version = m_table.version();
         }
         done(result);
     });
@@ -131,31 +86,22 @@
             done(result);
             return;
         }
-        if (request.after.value() < m_forgottenUpTo) {
-            result.answer = StoreAnswer::HistoryGone;
-            done(result);
-            return;
-        }
-        result.answer = StoreAnswer::Done;
-        result.version = RowRevision(m_version);
-        for (auto item = m_history.upper_bound(request.after.value()); item != m_history.end();
-             ++item) {
-            if (item->second.name.table == request.table) {
-                result.rows.push_back(item->second);
-            }
-        }
+        const auto changes = m_table.changes(request.table, request.after);
+        result.answer = changes.has_value() ? StoreAnswer::Done : StoreAnswer::HistoryGone;
+        result.version = m_table.version();
+        result.rows = changes.value_or(std::vector<StoreRow>());
         done(result);
     });
 }
 
 void MemoryRowStore::put(const RowName &name, const std::string &value)
 {
-    apply({{}, {{name, value}}, {}});
+    m_table.apply({{}, {{name, value}}, {}});
 }
 
 void MemoryRowStore::remove(const RowName &name)
 {
-    apply({{}, {}, {name}});
+    m_table.apply({{}, {}, {name}});
 }
 
 } // namespace boragepath
--- a/tests/support/memory_row_store.h
+++ b/tests/support/memory_row_store.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "control/row_store.h"
+#include "standin/row_table.h"
 #include "tests/support/manual_timers.h"
 
-#include <cstdint>
 #include <map>
 #include <random>
 #include <string>
@@ -37,23 +37,18 @@
     void put(const RowName &name, const std::string &value);
     void remove(const RowName &name);
     /** Forgets what changed before now. */
-    void compact() { m_forgottenUpTo = m_version; }
+    void compact() { m_table.forgetHistory(); }
     StoreFaults &faults() { return m_faults; }
-    const std::map<RowName, StoreRow> &rows() const { return m_rows; }
+    const std::map<RowName, StoreRow> &rows() const { return m_table.rows(); }
     int transactions() const { return m_transactions; }
 
 private:
-    TransactionResult apply(const RowTransaction &transaction);
-    std::vector<StoreRow> rowsIn(const RowRange &range) const;
     bool happens(double share);
 
     ManualTimers &m_timers;
     std::mt19937_64 m_random;
     StoreFaults m_faults;
-    std::map<RowName, StoreRow> m_rows;
-    std::map<std::uint64_t, StoreRow> m_history;
-    std::uint64_t m_version = 0;
-    std::uint64_t m_forgottenUpTo = 0;
+    RowTable m_table;
     int m_transactions = 0;
 };
 
