--- a/control/route_table.h
+++ b/control/route_table.h
@@ -59,11 +59,8 @@
 {
     /** Connections that one replica accepts from all VMs together. */
     std::int64_t maxConnections = 0;
-    std::string healthPath;
     /** Tokens in one event of a stream; 0 for plain services. */
     std::int64_t tokensPerEvent = 0;
-    /** Requests that an engine runs at once; 0 if not stated. */
-    std::int64_t engineSlots = 0;
 };
 
 /** What a caller may send, and how long it may take or stay idle. */
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.h"
 
+#include "net/beast_messages.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -118,18 +120,6 @@
     bool m_lost = false;
 };
 
-HttpRequest plainRequest(const http::request<http::string_body> &message)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    request.body = message.body();
-    return request;
-}
-
 /** Counts something for as long as it lives. */
 class CountGuard
 {
@@ -184,7 +174,8 @@
         beast::get_lowest_layer(stream).expires_never();
         const http::request<http::string_body> message = parser.release();
         StreamResponder<Stream> responder(stream, limits.idleLimit, message.keep_alive());
-        const HttpRequest request = plainRequest(message);
+        HttpRequest request = requestHead(message);
+        request.body = message.body();
         co_await handler(request, responder);
         if (responder.lost() || !message.keep_alive()) {
             co_return;
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,12 +1,12 @@
 #include "soak/callers.h"
 
 #include "net/http_client.h"
+#include "net/pause.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
@@ -36,12 +36,6 @@
 constexpr double SubAgentShare = 0.15;
 constexpr double GiveUpShare = 0.03;
 
-asio::awaitable<void> pause(Duration time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 Milliseconds retryAfterOf(const HttpResponse &response)
 {
     double seconds = 0;
@@ -111,7 +105,7 @@
         if (!fronts.empty()) {
             m_fronts = std::move(fronts);
         }
-        co_await pause(ResolveInterval);
+        co_await pauseFor(ResolveInterval);
     }
 }
 
@@ -119,7 +113,7 @@
 {
     std::exponential_distribution<double> gap(perSecond);
     while (!m_stopped) {
-        co_await pause(Milliseconds(static_cast<std::int64_t>(gap(m_random) * MillisPerSecond)));
+        co_await pauseFor(Milliseconds(static_cast<std::int64_t>(gap(m_random) * MillisPerSecond)));
         Program program;
         program.id = nextId("program");
         const bool loops = drawn() < LoopShare;
@@ -183,7 +177,7 @@
 {
     for (int tries = 0; tries < MaxTries; ++tries) {
         if (m_fronts.empty()) {
-            co_await pause(ResolveInterval);
+            co_await pauseFor(ResolveInterval);
             continue;
         }
         const Endpoint front = m_fronts[m_random() % m_fronts.size()];
@@ -201,7 +195,7 @@
         if (!isRefusal(end.status) && attempt.kind == CallKind::Once && !streams) {
             co_return "";
         }
-        co_await pause(RetryPause);
+        co_await pauseFor(RetryPause);
     }
     co_return "";
 }
@@ -234,7 +228,7 @@
     const HttpResult result = co_await httpStream(front, request, Silence, sink);
     end.whole = result.complete;
     if (isRefusal(end.status)) {
-        co_await pause(std::min(retryAfterOf(result.response), Deadline / 3));
+        co_await pauseFor(std::min(retryAfterOf(result.response), Deadline / 3));
     }
     co_return end;
 }
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -1,6 +1,6 @@
 // A randomized soak: real daemons as processes, stand-ins for all else, faults from outside.
 
-#include "net/http_client.h"
+#include "net/pause.h"
 #include "soak/callers.h"
 #include "soak/fleet.h"
 #include "soak/troubles.h"
@@ -10,7 +10,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <docopt/docopt.h>
 
@@ -105,12 +104,6 @@
     return site;
 }
 
-asio::awaitable<void> sleepFor(Duration time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 /** True once every VM serves a turn and a tool. */
 asio::awaitable<bool> recovered(Deployment &deployment, Callers &callers)
 {
@@ -119,7 +112,7 @@
         for (int tries = 0; !served && tries < ProbeTries; ++tries) {
             served = co_await callers.probe(deployment.fleet.front(vm));
             if (!served) {
-                co_await sleepFor(ProbePause);
+                co_await pauseFor(ProbePause);
             }
         }
         if (!served) {
@@ -143,18 +136,18 @@
     for (std::size_t vm = 0; vm < deployment.fleet.size(); ++vm) {
         deployment.fleet.start(vm);
     }
-    co_await sleepFor(StartTime);
+    co_await pauseFor(StartTime);
     callers.start(options.programsPerSecond);
     co_await troubles.run(options.span);
     for (std::size_t vm = 0; vm < deployment.fleet.size(); ++vm) {
         deployment.fleet.signal(vm, SIGCONT);
         deployment.fleet.start(vm);
     }
-    co_await sleepFor(RecoveryTime);
+    co_await pauseFor(RecoveryTime);
     callers.stop();
     outcome.recovered = co_await recovered(deployment, callers);
     // What was refused must not run later either.
-    co_await sleepFor(QuietTime);
+    co_await pauseFor(QuietTime);
     outcome.done = true;
 }
 
--- a/soak/troubles.cpp
+++ b/soak/troubles.cpp
@@ -1,12 +1,12 @@
 #include "soak/troubles.h"
 
 #include "core/clock.h"
+#include "net/pause.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
@@ -29,12 +29,6 @@
 constexpr Milliseconds EndTime{1'000};
 constexpr int MostAtOnce = 4;
 
-asio::awaitable<void> sleepFor(Duration time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 json::object route(const char *name, const char *prefix, const char *kind, const char *service)
 {
     return {{"name", name},       {"host", "soak"},         {"prefix", prefix},   {"kind", kind},
@@ -111,7 +105,7 @@
 asio::awaitable<void> keepRegistrations(Deployment &deployment, const bool &stopped)
 {
     while (!stopped) {
-        co_await sleepFor(Heartbeat);
+        co_await pauseFor(Heartbeat);
         for (const ReplicaSite &site : deployment.replicas) {
             const bool reaches = deployment.store.faults().outage == RowServerFaults::Outage::None;
             if (site.replica != nullptr && reaches) {
@@ -136,7 +130,7 @@
 asio::awaitable<void> Troubles::pause(Milliseconds shortest, Milliseconds longest)
 {
     std::uniform_int_distribution<std::int64_t> span(shortest.count(), longest.count());
-    co_await sleepFor(Milliseconds(span(m_random)));
+    co_await pauseFor(Milliseconds(span(m_random)));
 }
 
 asio::awaitable<void> Troubles::run(Duration span)
@@ -151,7 +145,7 @@
     }
     note("no more troubles");
     while (m_underWay > 0) {
-        co_await sleepFor(StepTime);
+        co_await pauseFor(StepTime);
     }
 }
 
@@ -207,7 +201,7 @@
     // Another trouble may have brought it up already.
     for (Milliseconds waited{0}; m_deployment.fleet.runs(vm) && waited < EndTime;
          waited += StepTime) {
-        co_await sleepFor(StepTime);
+        co_await pauseFor(StepTime);
     }
     m_deployment.fleet.start(vm);
 }
@@ -325,18 +319,18 @@
     if (drains) {
         m_deployment.replicas[index].draining = true;
         writeEntry(m_deployment, m_deployment.replicas[index]);
-        co_await sleepFor(DrainTime);
+        co_await pauseFor(DrainTime);
     }
     m_deployment.replicas[index].replica->stop();
     // Its coroutines end with its connections.
-    co_await sleepFor(StepTime);
+    co_await pauseFor(StepTime);
     m_deployment.replicas[index].link->resetAll();
     std::unique_ptr<PlatformReplica> ended = std::move(m_deployment.replicas[index].replica);
     co_await pause(Milliseconds(200), Milliseconds(2'500));
     removeEntry(m_deployment, id);
     startReplica(m_deployment, m_deployment.replicas[index]);
     // Requests that it was still at may look at it until their time is over.
-    co_await sleepFor(DrainTime);
+    co_await pauseFor(DrainTime);
 }
 
 asio::awaitable<void> Troubles::cutReplicaLink()
--- a/standin/platform_replica.cpp
+++ b/standin/platform_replica.cpp
@@ -1,13 +1,14 @@
 #include "standin/platform_replica.h"
 
 #include "core/hash.h"
+#include "net/beast_messages.h"
+#include "net/pause.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -27,12 +28,6 @@
 constexpr int Slots = 8;
 constexpr Milliseconds WorkTime{15};
 
-asio::awaitable<void> pause(Duration time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 asio::awaitable<bool> write(const std::shared_ptr<tcp::socket> &socket, std::string bytes)
 {
     boost::system::error_code error;
@@ -59,18 +54,6 @@
     return absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
 }
 
-HttpRequest plainRequest(const http::request<http::string_body> &message)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    request.body = message.body();
-    return request;
-}
-
 bool isStream(const HttpRequest &request)
 {
     return request.target.starts_with("/turn/") || request.target.starts_with("/read/");
@@ -146,7 +129,8 @@
         if (error) {
             co_return;
         }
-        const HttpRequest request = plainRequest(message);
+        HttpRequest request = requestHead(message);
+        request.body = message.body();
         m_running += 1;
         const bool goesOn = co_await answer(socket, request);
         m_running -= 1;
@@ -173,7 +157,7 @@
         co_return co_await write(socket, refusal);
     }
     m_ran(request, m_id);
-    co_await pause(WorkTime + m_faults.delay);
+    co_await pauseFor(WorkTime + m_faults.delay);
     if (happens(m_faults.loses)) {
         co_return false;
     }
@@ -219,7 +203,7 @@
     bool open = co_await write(socket, head);
     const int count = ReplicaAnswers::eventCount(attempt);
     for (int number = after + 1; open && number <= count; ++number) {
-        co_await pause(WorkTime + m_faults.delay);
+        co_await pauseFor(WorkTime + m_faults.delay);
         const std::string event = chunk(absl::StrCat(
             "id: ", number, "\ndata: ", ReplicaAnswers::eventData(attempt, number), "\n\n"));
         if (happens(m_faults.breaksOff / count)) {
--- a/standin/row_server.cpp
+++ b/standin/row_server.cpp
@@ -1,12 +1,12 @@
 #include "standin/row_server.h"
 
 #include "core/json_access.h"
+#include "net/pause.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace boragepath {
@@ -29,12 +29,6 @@
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusBadRequest = 400;
 
-asio::awaitable<void> pause(Duration time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 RowName nameFrom(const json::object &object)
 {
     return {stringAt(object, "table"), stringAt(object, "part"), stringAt(object, "key")};
@@ -129,13 +123,13 @@
 
 asio::awaitable<void> RowServer::keepSilent()
 {
-    co_await pause(SilenceTime);
+    co_await pauseFor(SilenceTime);
 }
 
 asio::awaitable<void> RowServer::applyLater(RowTransaction transaction)
 {
     std::uniform_int_distribution<std::int64_t> delay(EarliestLate.count(), LatestLate.count());
-    co_await pause(Milliseconds(delay(m_random)));
+    co_await pauseFor(Milliseconds(delay(m_random)));
     m_table.apply(transaction);
 }
 
@@ -145,7 +139,7 @@
         co_await keepSilent();
         co_return;
     }
-    co_await pause(WriteTime + m_faults.delay);
+    co_await pauseFor(WriteTime + m_faults.delay);
     if (m_faults.outage != RowServerFaults::Outage::None) {
         const bool busy = m_faults.outage == RowServerFaults::Outage::Busy;
         const HttpResponse refusal = statusOnly(busy ? StatusUnavailable : StatusTooMany);
@@ -200,7 +194,7 @@
         std::chrono::steady_clock::now() + Milliseconds(numberParameter(request, "waitMs"));
     auto changes = m_table.changes(table, after);
     while (changes.has_value() && changes->empty() && std::chrono::steady_clock::now() < until) {
-        co_await pause(FeedStep);
+        co_await pauseFor(FeedStep);
         changes = m_table.changes(table, after);
     }
     HttpResponse response = statusOnly(changes.has_value() ? 200 : StatusGone);
