--- a/operators/log_story.cpp
+++ b/operators/log_story.cpp
@@ -106,12 +106,21 @@
     static const std::set<std::string> beliefs = {"started", "stopping",   "stopped",
                                                   "reload",  "dependency", "configuration"};
     std::string text;
+    std::map<std::int64_t, int> refusals;
     for (const LogRecord &record : log) {
         const bool inTime = record.at >= beginOf(call) - Before && record.at <= call.at;
-        if (inTime && record.vm == call.vm && beliefs.contains(record.event)) {
+        if (!inTime || record.vm != call.vm) {
+            continue;
+        }
+        if (beliefs.contains(record.event)) {
             absl::StrAppend(&text, "    ", lineOf(record));
+        } else if (record.event == "store") {
+            refusals[integerAt(record.fields, "status")] += 1;
         }
     }
+    for (const auto &[status, count] : refusals) {
+        absl::StrAppend(&text, "    the store answered ", status, " to ", count, " of its calls\n");
+    }
     return text;
 }
 
--- a/tests/operators/log_story_test.cpp
+++ b/tests/operators/log_story_test.cpp
@@ -15,6 +15,7 @@
 collector noise without JSON
    1.2 vm-2 {"time":"2026-04-20T10:00:04.500","event":"call","vm":"vm-2","request":"b","program":"p","outcome":"answered","status":200,"ms":300,"route":"turn","replicas":"i-2"}
 {"time":"2026-04-20T10:00:01.000","level":"WARNING","event":"dependency","vm":"vm-1","name":"store","outcome":"lost"}
+{"time":"2026-04-20T10:00:01.500","event":"store","vm":"vm-1","call":"/v1/rows-tx","status":507}
 {"time":"2026-04-20T09:59:00.000","event":"dependency","vm":"vm-1","name":"store","outcome":"regained"}
 {"time":"2026-04-20T10:00:01.100","event":"dependency","vm":"vm-2","name":"other","outcome":"lost"}
 {"time":"2026-04-20T10:00:02.000","event":"call","vm":"vm-1","request":"a","program":"p","outcome":"store-away","status":0,"ms":1,"store_silent_ms":950}
@@ -39,7 +40,7 @@
     std::size_t unreadable = 0;
     const auto log = readLog(input, unreadable);
     EXPECT_EQ(unreadable, 2U);
-    ASSERT_EQ(log.size(), 9U);
+    ASSERT_EQ(log.size(), 10U);
     EXPECT_TRUE(std::is_sorted(log.begin(), log.end(), [](const auto &left, const auto &right) {
         return left.at < right.at;
     }));
@@ -51,6 +52,7 @@
     EXPECT_THAT(story, testing::HasSubstr("store_silent_ms=950"));
     EXPECT_THAT(story, testing::HasSubstr("the store did not answer this VM"));
     EXPECT_THAT(story, testing::HasSubstr("10:00:01.000 vm-1 dependency name=store outcome=lost"));
+    EXPECT_THAT(story, testing::HasSubstr("the store answered 507 to 1 of its calls"));
     EXPECT_THAT(story, testing::HasSubstr("no replica was sent the request"));
     // Neither what was long before, nor what another VM learnt.
     EXPECT_THAT(story, testing::Not(testing::HasSubstr("regained")));
