Share connection limits with VMs that are not heard of yet

All VMs were killed and started together; each took the connection limit of a replica for itself and the few it had heard of. The replicas reset 124 connections, and once-only calls on them ended as 502: some 60 programs from 37 to 43 s.

Ruled out: broken replicas, the rolling restarts before (docs/incidents).

Change: shares count all VMs that have a row, and sixteen before the rows are read. Rows of VMs that are silent for two minutes are removed.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -181,7 +181,7 @@
     if (found == m_table->services.end() || found->second.maxConnections <= 0) {
         return std::numeric_limits<std::int64_t>::max();
     }
-    const auto vms = static_cast<std::int64_t>(m_parts.vms.liveCount() + SpareVms);
+    const auto vms = static_cast<std::int64_t>(m_parts.vms.sharingCount() + SpareVms);
     return std::max<std::int64_t>(1, found->second.maxConnections / vms);
 }
 
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t Fanout = 3;
 /** Callers of a zone spread over at least this many VMs. */
 constexpr std::size_t EnoughInZone = 2;
+/** Assumed before the rows of VMs are read: more than there are on most deployments. */
+constexpr std::size_t GuessedVms = 16;
 /** More addresses than this are of no use to callers. */
 constexpr std::size_t MaxAddresses = 64;
 
@@ -180,11 +182,16 @@
     });
 }
 
-std::size_t VmDirectory::liveCount() const
+bool VmDirectory::lives(const VmId &vm) const
 {
-    const auto live = std::count_if(m_others.begin(), m_others.end(),
-                                    [&](const auto &item) { return lives(item.second); });
-    return static_cast<std::size_t>(live) + 1;
+    const auto found = m_others.find(vm);
+    return found != m_others.end() && lives(found->second);
+}
+
+std::size_t VmDirectory::sharingCount() const
+{
+    const std::size_t known = m_others.size() + 1;
+    return m_rowsRead ? known : std::max(known, GuessedVms);
 }
 
 } // namespace boragepath
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -66,8 +66,15 @@
     std::optional<Endpoint> meetingPoint(const std::string &item) const;
     /** True if the VM that other VMs reach at @p peers lives. */
     bool livesAt(const Endpoint &peers) const;
-    /** VMs that live, this one included. */
-    std::size_t liveCount() const;
+    /** True if the VM of that name lives. */
+    bool lives(const VmId &vm) const;
+    /** The rows of all VMs have been read and learnt. */
+    void rowsRead() { m_rowsRead = true; }
+    /**
+     * VMs to share limits with, this one included: all that are known, silent ones
+     * too, since they may be about to start again; and a guess before the rows are read.
+     */
+    std::size_t sharingCount() const;
     const VmEntry &self() const { return m_self; }
 
 private:
@@ -77,6 +84,7 @@
     VmEntry m_self;
     std::mt19937_64 m_random;
     std::map<VmId, VmEntry> m_others;
+    bool m_rowsRead = false;
 };
 
 } // namespace boragepath
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds NewsInterval{400};
 constexpr Milliseconds VmReadInterval{10'000};
 constexpr Milliseconds StoreRetryPause{500};
+/** A VM that is started again is heard of much sooner. */
+constexpr Milliseconds GoneLimit{120'000};
 constexpr Milliseconds StaleLinkInterval{2'000};
 constexpr Milliseconds StopCheckInterval{50};
 /** Callers use an address for three times its time to live after it was withdrawn. */
@@ -285,12 +287,31 @@
             if (entry.has_value() && entry->vm != m_settings.vm) {
                 m_vms.learn(*entry);
                 sendNews(entry->peers, true);
+                dropIfGone(row, *entry);
             }
         }
+        if (done) {
+            m_vms.rowsRead();
+        }
         m_timers.after(done ? VmReadInterval : StoreRetryPause, [this] { readVms(); });
     });
 }
 
+/** Removes the row of a VM that has been silent for so long that it will not come back. */
+void PlatformDaemon::dropIfGone(const StoreRow &row, const VmEntry &entry)
+{
+    if (m_vms.lives(entry.vm)) {
+        m_silentVms.erase(entry.vm);
+        return;
+    }
+    const SteadyTime since = m_silentVms.try_emplace(entry.vm, m_clock.now()).first->second;
+    if (m_clock.now() >= since + GoneLimit) {
+        m_silentVms.erase(entry.vm);
+        m_store.transact({{{row.name, row.version}}, {}, {row.name}},
+                         [](const TransactionResult &) {});
+    }
+}
+
 void PlatformDaemon::tellOthers()
 {
     m_vms.setStoreAway(m_store.directlyAway());
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -63,6 +63,7 @@
     void useRoutes(std::shared_ptr<const RouteTable> table);
     void registerSelf();
     void readVms();
+    void dropIfGone(const StoreRow &row, const VmEntry &entry);
     void tellOthers();
     void askForRegistry();
     void sendRegistry(const Endpoint &to);
@@ -111,6 +112,8 @@
     std::optional<HttpServer> m_metricsServer;
     std::atomic<bool> m_ready = false;
     std::optional<SteadyTime> m_stopBegan;
+    /** VMs with a row that are not heard of, and since when. */
+    std::map<VmId, SteadyTime> m_silentVms;
 };
 
 } // namespace boragepath
