--- a/control/budget_grants.cpp
+++ b/control/budget_grants.cpp
@@ -62,9 +62,9 @@
         return;
     }
     Grant &grant = found->second;
-    const auto waiting = std::find_if(
-        grant.waiting.begin(), grant.waiting.end(),
-        [&](const Claim &claim) { return claim.claim.turn == settlement.turn; });
+    const auto waiting =
+        std::find_if(grant.waiting.begin(), grant.waiting.end(),
+                     [&](const Claim &claim) { return claim.claim.turn == settlement.turn; });
     if (waiting != grant.waiting.end()) {
         // Whoever asked has found another way meanwhile.
         const Claim withdrawn = std::move(*waiting);
