--- a/control/ledger_relay.cpp
+++ b/control/ledger_relay.cpp
@@ -147,7 +147,7 @@
     note.tokens = settlement.tokens;
     note.session = place.session;
     note.replica = place.replica.value();
-    m_settlements[id] = {to, std::move(note), 0};
+    m_settlements[id] = {to, note, 0};
     sendSettlement(id);
 }
 
