Room at replicas for the connections of VMs that lost power

Replicas reset 324 connections over their limit from 36 to 43 s: all VMs had lost power at 34.5 s, and their connections stayed open at the replicas, which nobody had told. And from 22 to 34 s 171 calls were refused for want of a replica: one application replica was left, and a VM that had used its share of connections refused at once.

Ruled out: shares taken too large after the restart (each VM knows ten others by their rows since the commit before; the resets came all the same).

Change: a VM's share leaves room for two generations of all VMs; a call that only finds this VM's connections taken waits in line.

Two tests, both fail without the change.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -21,6 +21,9 @@
 constexpr Milliseconds LongestWait{1'500};
 /** A place is found this soon after it was freed; turns take some hundred milliseconds. */
 constexpr Milliseconds ServingInterval{5};
+/** A VM that lost power leaves its connections open at the replicas; the next process needs room
+ * beside them. */
+constexpr std::int64_t Generations = 2;
 /** VMs that may be added while connections are open; they need a share too. */
 constexpr std::size_t SpareVms = 2;
 
@@ -182,10 +185,10 @@
         return std::numeric_limits<std::int64_t>::max();
     }
     const auto vms = static_cast<std::int64_t>(m_parts.vms.sharingCount() + SpareVms);
-    return std::max<std::int64_t>(1, found->second.maxConnections / vms);
+    return std::max<std::int64_t>(1, found->second.maxConnections / (vms * Generations));
 }
 
-const ReplicaState *CallScheduler::place(const Call &call) const
+const ReplicaState *CallScheduler::place(const Call &call, std::int64_t maxOwnRequests) const
 {
     if (call.dispatches >= MaxDispatches) {
         return nullptr;
@@ -194,7 +197,7 @@
     request.service = call.service;
     request.tried = call.tried;
     request.zone = m_parts.zone;
-    request.maxOwnRequests = connectionShare(call.service);
+    request.maxOwnRequests = maxOwnRequests;
     if (call.route->hasPrompt) {
         request.affinityKey = programOf(call.incoming).value();
         request.promptAt = call.promptAt;
@@ -209,16 +212,20 @@
         refuse(handle, CallRefusalReason::OutOfTime);
         return;
     }
-    const ReplicaState *replica = place(call);
-    if (replica == nullptr) {
-        refuse(handle, CallRefusalReason::NoReplica);
-        return;
-    }
-    if (isFull(*replica, m_parts.clock.now())) {
+    const ReplicaState *replica = place(call, connectionShare(call.service));
+    if (replica != nullptr && !isFull(*replica, m_parts.clock.now())) {
+        send(call, handle, *replica);
+    } else if (mayBeServed(call)) {
         wait(handle);
-        return;
+    } else {
+        refuse(handle, CallRefusalReason::NoReplica);
     }
-    send(call, handle, *replica);
+}
+
+/** True if some replica could serve the call, though perhaps not at once. */
+bool CallScheduler::mayBeServed(const Call &call) const
+{
+    return place(call, std::numeric_limits<std::int64_t>::max()) != nullptr;
 }
 
 void CallScheduler::wait(CallHandle handle)
@@ -258,11 +265,11 @@
     std::vector<WaitingCall> left;
     for (WaitingCall &item : waiting) {
         Call &call = m_calls[item.handle];
-        const ReplicaState *replica = place(call);
+        const ReplicaState *replica = place(call, connectionShare(call.service));
         call.waited = now - item.since;
         if (replica != nullptr && !isFull(*replica, now) && now < call.deadline) {
             send(call, item.handle, *replica);
-        } else if (replica == nullptr || now >= item.since + LongestWait || now >= call.deadline) {
+        } else if (!mayBeServed(call) || now >= item.since + LongestWait || now >= call.deadline) {
             refuse(item.handle, CallRefusalReason::NoReplica);
         } else {
             left.push_back(std::move(item));
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -169,7 +169,8 @@
     void findHistory(CallHandle handle);
     void reserve(CallHandle handle);
     void dispatch(CallHandle handle);
-    const ReplicaState *place(const Call &call) const;
+    const ReplicaState *place(const Call &call, std::int64_t maxOwnRequests) const;
+    bool mayBeServed(const Call &call) const;
     void send(Call &call, CallHandle handle, const ReplicaState &replica);
     void wait(CallHandle handle);
     void planServing();
--- a/tests/control/waiting_line_test.cpp
+++ b/tests/control/waiting_line_test.cpp
@@ -144,13 +144,33 @@
         route.services.push_back({PoolName("service"), 1});
         table->routes.push_back(route);
         m_scheduler.useRoutes(table);
+        putReplica(1);
+    }
+
+    void putReplica(std::int64_t slots)
+    {
         ReplicaEntry entry;
         entry.id = ReplicaId("replica");
         entry.service = PoolName("service");
-        entry.slots = 1;
+        entry.slots = slots;
         m_replicas.put(entry);
     }
 
+    /** The replica takes this many connections of all VMs, of which there are @p others more. */
+    void limitConnections(std::int64_t most, int others)
+    {
+        auto table = std::make_shared<RouteTable>(*m_scheduler.routes());
+        table->version = ConfigurationVersion(2);
+        table->services[PoolName("service")].maxConnections = most;
+        m_scheduler.useRoutes(table);
+        for (int number = 1; number <= others; ++number) {
+            VmEntry entry;
+            entry.vm = VmId(absl::StrCat("vm-", number));
+            m_vms.learn(entry);
+        }
+        m_vms.rowsRead();
+    }
+
     void open(const std::string &id, std::optional<Milliseconds> programTime = std::nullopt)
     {
         IncomingCall call;
@@ -261,4 +281,31 @@
     EXPECT_EQ(m_sent.size(), 2U);
 }
 
+/** All VMs lose power: their old connections stay open at the replica for seconds. */
+TEST_F(Waiting, TwoGenerationsOfAllVmsFitIntoTheConnectionsOfAReplica)
+{
+    constexpr int Others = 10;
+    constexpr std::int64_t Most = 110;
+    putReplica(100);
+    limitConnections(Most, Others);
+    for (int call = 0; call < 60; ++call) {
+        open(absl::StrCat("call-", call));
+    }
+    EXPECT_GT(m_sent.size(), 1U);
+    EXPECT_LE(m_sent.size() * (Others + 1) * 2, static_cast<std::size_t>(Most));
+    EXPECT_TRUE(m_refused.empty());
+}
+
+TEST_F(Waiting, ACallWaitsForOneOfThisVmsConnections)
+{
+    putReplica(100);
+    limitConnections(2, 0);
+    open("first");
+    open("second");
+    EXPECT_EQ(m_sent, std::vector<std::string>{"first"});
+    EXPECT_TRUE(m_refused.empty());
+    end("first");
+    EXPECT_EQ(m_sent.back(), "second");
+}
+
 } // namespace boragepath
