--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -136,6 +136,7 @@
     Progress progress{call, codec, *channel, std::get<CallDispatch>(decision), startedAt};
     for (;;) {
         const AttemptResult attemptResult = co_await runOnReplica(progress);
+        progress.observation.eventsForwarded = progress.events;
         const bool shouldRetry = attemptResult == AttemptResult::NotExecuted
             || (attemptResult == AttemptResult::Incomplete && progress.canRetry());
         if (!shouldRetry || channel->isDisconnected()
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "control/call_scheduler.h"
 
+#include <absl/strings/str_join.h>
+
 #include <limits>
 
 namespace boragepath {
@@ -310,6 +312,7 @@
     result.deadline = call.deadline;
     call.dispatches += 1;
     call.triedReplicas.insert(replica.entry.id);
+    call.attemptedReplicas.push_back({replica.entry.id, replica.entry.softwareVersion});
     call.currentReplica = replica.entry.id;
     call.lastReplica = replica.entry.id;
     call.placement = placementInputs(replica, m_dependencies.clock.now());
@@ -408,8 +411,10 @@
     LogLine("attempt")
         .add("request", call.incoming.attempt.value())
         .add("replica", call.currentReplica->value())
+        .add("version", call.attemptedReplicas.back().version.value())
         .add("outcome", observation.failureReason)
         .add("attempt", call.dispatches)
+        .add("events", observation.eventsForwarded)
         .info();
 }
 
@@ -443,6 +448,22 @@
     }
 }
 
+void CallScheduler::addPlacementDetails(const Call &call, LogLine &line)
+{
+    std::vector<std::string> replicas;
+    std::vector<std::string> versions;
+    for (const AttemptedReplica &attempted : call.attemptedReplicas) {
+        replicas.push_back(attempted.id.value());
+        versions.push_back(attempted.version.value());
+    }
+    line.add("replicas", absl::StrJoin(replicas, ","))
+        .add("versions", absl::StrJoin(versions, ","))
+        .add("own", call.placement.ownRequests)
+        .add("reported", call.placement.reportedRequests)
+        .add("waited_ms", toMillis(call.queueTime))
+        .add("report_age_ms", toMillis(call.placement.reportAge));
+}
+
 void CallScheduler::logCompletion(const Call &call, const CallCompletion &completion) const
 {
     LogLine line("call");
@@ -456,16 +477,12 @@
             .add("configuration", call.table->version.value())
             .add("left_ms", toMillis(call.deadline - m_dependencies.clock.now()));
     }
-    if (!call.triedReplicas.empty()) {
-        std::string triedReplicas;
-        for (const ReplicaId &id : call.triedReplicas) {
-            triedReplicas += (triedReplicas.empty() ? "" : ",") + id.value();
-        }
-        line.add("replicas", triedReplicas)
-            .add("own", call.placement.ownRequests)
-            .add("reported", call.placement.reportedRequests)
-            .add("waited_ms", toMillis(call.queueTime))
-            .add("report_age_ms", toMillis(call.placement.reportAge));
+    if (call.incoming.resumption.has_value()) {
+        line.add("resumes", call.incoming.resumption->firstAttempt.value())
+            .add("after_event", call.incoming.resumption->lastEventId);
+    }
+    if (!call.attemptedReplicas.empty()) {
+        addPlacementDetails(call, line);
     }
     if (completion.refusal.has_value()) {
         addRefusalDetails(call, *completion.refusal, line);
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -22,6 +22,15 @@
 
 namespace boragepath {
 
+/** States that a request continues a stream that broke off. */
+struct StreamResumption
+{
+    /** The attempt that brought the stream's first event; empty if the request names none. */
+    AttemptId firstAttempt;
+    /** The last event that the caller has received. */
+    std::int64_t lastEventId = 0;
+};
+
 /** The fields of a caller's request that scheduling decisions depend on. */
 struct IncomingCall
 {
@@ -46,6 +55,8 @@
     AttemptId previousTurn;
     /** The object that the request is about; empty if it states none. */
     std::string object;
+    /** Set if the caller has received the beginning of the stream already. */
+    std::optional<StreamResumption> resumption;
     /** New input, on routes that store turns; shared with the connection that received it. */
     Conversation input;
 };
@@ -158,6 +169,13 @@
     std::size_t openCalls() const { return m_calls.size(); }
 
 private:
+    /** A replica that a call was sent to, for the log. */
+    struct AttemptedReplica
+    {
+        ReplicaId id;
+        SoftwareVersion version;
+    };
+
     struct Call
     {
         IncomingCall incoming;
@@ -171,6 +189,8 @@
         /** The replica that probably has the prompt's prefix cached; empty if not known. */
         ReplicaId promptReplica;
         std::set<ReplicaId> triedReplicas;
+        /** In the order in which the call was sent to them. */
+        std::vector<AttemptedReplica> attemptedReplicas;
         std::optional<ReplicaId> currentReplica;
         ReplicaId lastReplica;
         /** What the choice of the last replica was based on, for the log. */
@@ -205,6 +225,8 @@
     void releaseReplica(Call &call, const ReplicaObservation &observation);
     void logFailedAttempt(const Call &call, const ReplicaObservation &observation) const;
     void logCompletion(const Call &call, const CallCompletion &completion) const;
+    /** Adds which replicas the call was sent to, and why, to a log line. */
+    static void addPlacementDetails(const Call &call, LogLine &line);
     /** Adds the data that a refusal was based on, and the age of that data, to a log line. */
     void addRefusalDetails(const Call &call, CallRefusalReason reason, LogLine &line) const;
 
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -21,6 +21,8 @@
     PoolName service;
     Endpoint endpoint;
     ZoneId zone;
+    /** Replicas of several versions may serve side by side; empty if it states none. */
+    SoftwareVersion softwareVersion;
     /** Requests that it runs concurrently. */
     std::int64_t slots = 1;
     /** It accepts no new requests. */
@@ -56,6 +58,8 @@
     std::optional<Duration> latency;
     /** Mean time between two events of a stream. */
     std::optional<Duration> eventInterval;
+    /** Events that the caller had received of its answer, from all replicas, when it ended. */
+    std::int64_t eventsForwarded = 0;
 };
 
 /** What this VM knows about one replica: its registration, load, speed and failures. */
--- a/core/ids.h
+++ b/core/ids.h
@@ -19,6 +19,8 @@
 using PoolName = StrongType<std::string, struct PoolNameTag>;
 /** Name of one backend server (one replica of a pool). */
 using ReplicaId = StrongType<std::string, struct ReplicaIdTag>;
+/** Version of a backend server's software; versions of one service have no order. */
+using SoftwareVersion = StrongType<std::string, struct SoftwareVersionTag>;
 /** Index of a program shard, from 0 to the deployment's shard count. */
 using ShardIndex = StrongType<std::uint32_t, struct ShardIndexTag>;
 /** Position of a call in its program, counted from 1. */
