--- a/tests/platform/session_test.cpp
+++ b/tests/platform/session_test.cpp
@@ -1,285 +1,22 @@
-// Complete calls over loopback in the platform's wire format: a caller, one VM, scripted
-// replicas and a store in memory.
+// Complete calls through one VM in the platform's wire format.
 
-#include "backends/call_forwarder.h"
-#include "control/call_scheduler.h"
-#include "main/platform_daemon.h"
-#include "platform/front_server.h"
-#include "platform/registry_codec.h"
-#include "tests/support/memory_row_store.h"
-
-#include <gmock/gmock.h>
-#include <gtest/gtest.h>
-
-#include <absl/strings/match.h>
-#include <absl/strings/str_cat.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/connect.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-
-#include <chrono>
-#include <thread>
+#include "tests/support/platform_session.h"
 
 namespace boragepath::platform {
 
 namespace {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
-
-const Endpoint FrontEndpoint{"127.0.0.9", 17'911};
-constexpr std::uint16_t FirstReplicaPort = 17'921;
-/** Interval at which the clock of the store in memory is advanced. */
-constexpr Milliseconds StoreClockStep{2};
-
-const std::string Configuration =
-    R"({"version":3,"routes":[)"
-    R"({"name":"tool","host":"h","prefix":"/tool/","kind":"non_idempotent","timeoutMs":2000,)"
-    R"("service":"app","maxAttempts":1},)"
-    R"({"name":"look","host":"h","prefix":"/look/","kind":"idempotent","timeoutMs":2000,)"
-    R"("targetLatencyMs":60,"service":"app","maxAttempts":2},)"
-    R"({"name":"turn","host":"h","prefix":"/turn/","kind":"streaming","timeoutMs":2000,)"
-    R"("service":"app","maxAttempts":2,"resumable":false,"retainContext":true,"keepS":60},)"
-    R"({"name":"read","host":"h","prefix":"/read/","kind":"streaming","timeoutMs":2000,)"
-    R"("service":"app","maxAttempts":2,"resumable":true}],)"
-    R"("services":[{"name":"app","maxConns":200,"engine":{"tokensPerEvent":20}}],)"
-    R"("limits":{"maxHeaderBytes":2000,"maxBodyBytes":5000,"headerTimeoutMs":200,"idleTimeoutMs":1000}})";
-
-/** A replica's response: its bytes, and whether the connection is closed after them. */
-struct ReplicaScript
-{
-    std::string answer;
-    bool close = false;
-};
-
-using ReplicaBehaviour =
-    std::function<ReplicaScript(const std::string &head, const std::string &body)>;
-
-std::string fieldOf(const std::string &head, const std::string &name)
-{
-    const std::size_t start = head.find("\r\n" + name + ": ");
-    if (start == std::string::npos) {
-        return "";
-    }
-    const std::size_t value = start + name.size() + 4;
-    return head.substr(value, head.find("\r\n", value) - value);
-}
-
-/** Answers requests as the test's behaviour function says and records the requests. */
-class ScriptedReplica
-{
-public:
-    ScriptedReplica(asio::io_context &context, std::uint16_t port, ReplicaBehaviour behaviour)
-        : m_acceptor(context, {asio::ip::make_address("127.0.0.9"), port})
-        , m_behaviour(std::move(behaviour))
-    {
-        asio::co_spawn(context, accept(), asio::detached);
-    }
-
-    std::vector<std::string> heads;
-    std::vector<std::string> bodies;
-
-private:
-    asio::awaitable<void> accept()
-    {
-        for (;;) {
-            tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
-        }
-    }
-
-    asio::awaitable<void> serve(tcp::socket socket)
-    {
-        std::string input;
-        for (;;) {
-            const std::size_t size = co_await asio::async_read_until(
-                socket, asio::dynamic_buffer(input), "\r\n\r\n", asio::use_awaitable);
-            const std::string head = input.substr(0, size);
-            input.erase(0, size);
-            const std::string length = fieldOf(head, "Content-Length");
-            const std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
-            if (input.size() < bodySize) {
-                co_await asio::async_read(socket, asio::dynamic_buffer(input),
-                                          asio::transfer_exactly(bodySize - input.size()),
-                                          asio::use_awaitable);
-            }
-            const std::string body = input.substr(0, bodySize);
-            input.erase(0, bodySize);
-            heads.push_back(head);
-            bodies.push_back(body);
-            const ReplicaScript script = m_behaviour(head, body);
-            co_await asio::async_write(socket, asio::buffer(script.answer), asio::use_awaitable);
-            if (script.close) {
-                socket.close();
-                co_return;
-            }
-        }
-    }
-
-    tcp::acceptor m_acceptor;
-    ReplicaBehaviour m_behaviour;
-};
-
-std::string sealedResponse(const std::string &head, const std::string &extra,
-                           const std::string &body)
-{
-    return absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", fieldOf(head, "Attempt-Id"),
-                        "\r\nReplica-Seal: seal\r\n", extra, "\r\n", body);
-}
-
-std::string completeResponse(const std::string &head, const std::string &body)
-{
-    return sealedResponse(head, absl::StrCat("Content-Length: ", body.size(), "\r\n"), body);
-}
-
-std::string chunk(const std::string &data)
-{
-    return absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
-}
-
-std::string event(int id)
-{
-    return absl::StrCat("id: ", id, "\ndata: d", id, "\n\n");
-}
-
-std::string streamHead(const std::string &head)
-{
-    return sealedResponse(head, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
-                          "");
-}
-
-/** One VM on loopback with a store in memory, whose clock follows the system clock. */
-class Session : public testing::Test
-{
-protected:
-    Session()
-        : m_manualTimers(m_manualClock)
-        , m_store(m_manualTimers, 3)
-        , m_timers(m_context)
-        , m_health(m_clock)
-        , m_replicas(m_clock)
-        , m_ledger(m_clock, m_timers, m_store, m_health, 1)
-        , m_turns(m_clock, m_timers, m_store, m_health, 1'000'000, 1)
-        , m_vms(m_clock, {}, 1)
-        , m_grants(m_clock, m_timers, m_ledger, m_health, "vm/1")
-        , m_relay(m_clock, m_timers, m_ledger, m_grants, m_vms, nullptr)
-        , m_scheduler(
-              {m_clock, m_timers, m_replicas, m_relay, m_turns, m_vms, m_health, ZoneId("z")})
-        , m_replicaConnections(m_context.get_executor(), m_clock)
-        , m_forwarder(m_context, m_scheduler, m_replicaConnections, m_clock, m_counters)
-        , m_front(m_context, FrontEndpoint, m_forwarder)
-    {
-        advanceStoreClock();
-    }
-
-    void configure()
-    {
-        const auto table = decodeConfiguration(Configuration);
-        ASSERT_NE(table, nullptr);
-        m_scheduler.setRouteTable(table);
-        m_front.setLimits(table->limits);
-    }
-
-    ScriptedReplica &addReplica(ReplicaBehaviour behaviour)
-    {
-        const auto port = static_cast<std::uint16_t>(FirstReplicaPort + m_scripted.size());
-        m_scripted.push_back(
-            std::make_unique<ScriptedReplica>(m_context, port, std::move(behaviour)));
-        ReplicaEntry entry;
-        entry.id = ReplicaId(absl::StrCat("i-", m_scripted.size()));
-        entry.service = PoolName("app");
-        entry.endpoint = {"127.0.0.9", port};
-        entry.zone = ZoneId("z");
-        entry.slots = 4;
-        m_replicas.put(entry);
-        return *m_scripted.back();
-    }
-
-    /** Sends bytes on a new connection and reads until @p until arrives or the VM closes it. */
-    std::string exchange(const std::string &bytes, const std::string &until)
-    {
-        std::string answer;
-        asio::co_spawn(
-            m_context,
-            [&]() -> asio::awaitable<void> {
-                tcp::socket socket(m_context);
-                co_await socket.async_connect(
-                    {asio::ip::make_address(FrontEndpoint.address), FrontEndpoint.port},
-                    asio::use_awaitable);
-                co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
-                std::array<char, 4096> received{};
-                while (answer.find(until) == std::string::npos) {
-                    boost::system::error_code error;
-                    const std::size_t size = co_await socket.async_read_some(
-                        asio::buffer(received), asio::redirect_error(asio::use_awaitable, error));
-                    answer.append(received.data(), size);
-                    if (error) {
-                        answer += "<closed>";
-                        break;
-                    }
-                }
-                m_done = true;
-            },
-            asio::detached);
-        m_done = false;
-        while (!m_done) {
-            m_context.run_one();
-        }
-        return answer;
-    }
-
-    std::string call(const std::string &path, const std::string &id, const std::string &body,
-                     const std::string &fields = "")
-    {
-        return absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nAttempt-Id: ", id,
-                            "\r\nDeadline-Ms: 1500\r\n", fields, "Content-Length: ", body.size(),
-                            "\r\n\r\n", body);
-    }
-
-    void advanceStoreClock()
-    {
-        m_timers.after(StoreClockStep, [this] {
-            m_manualTimers.run(StoreClockStep);
-            advanceStoreClock();
-        });
-    }
-
-    asio::io_context m_context{1};
-    SystemClock m_clock;
-    ManualClock m_manualClock;
-    ManualTimers m_manualTimers;
-    MemoryRowStore m_store;
-    AsioTimers m_timers;
-    StoreHealth m_health;
-    ReplicaTable m_replicas;
-    ProgramLedger m_ledger;
-    TurnArchive m_turns;
-    VmDirectory m_vms;
-    BudgetGrants m_grants;
-    LedgerRelay m_relay;
-    CallScheduler m_scheduler;
-    ForwardCounters m_counters;
-    ReplicaConnectionPool m_replicaConnections;
-    CallForwarder m_forwarder;
-    FrontServer m_front;
-    std::vector<std::unique_ptr<ScriptedReplica>> m_scripted;
-    bool m_done = false;
-};
+using Session = PlatformSession;
 
 } // namespace
 
 TEST_F(Session, RefusesWithRetryAfterBeforeTheFirstConfiguration)
 {
-    const std::string answer = exchange(call("/tool/x", "a", "body"), "\r\n\r\n");
+    const std::string answer = exchange(callRequest("/tool/x", "a", "body"), "\r\n\r\n");
     EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 503"));
     EXPECT_THAT(answer, testing::HasSubstr("Retry-After: "));
     configure();
-    EXPECT_THAT(exchange(call("/nowhere/", "b", "body"), "\r\n\r\n"),
+    EXPECT_THAT(exchange(callRequest("/nowhere/", "b", "body"), "\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 404"));
 }
 
@@ -289,7 +26,7 @@
     ScriptedReplica &replica = addReplica([](const std::string &head, const std::string &) {
         return ReplicaScript{completeResponse(head, "the bytes")};
     });
-    const std::string answer = exchange(call("/tool/x?y=z", "a", "body"), "the bytes");
+    const std::string answer = exchange(callRequest("/tool/x?y=z", "a", "body"), "the bytes");
     EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 200 OK"));
     EXPECT_THAT(answer, testing::HasSubstr("Replica-Seal: seal\r\n"));
     EXPECT_THAT(replica.heads.at(0), testing::StartsWith("POST /tool/x?y=z HTTP/1.1\r\n"));
@@ -306,7 +43,7 @@
     };
     ScriptedReplica &first = addReplica(closesMidResponse);
     ScriptedReplica &second = addReplica(closesMidResponse);
-    const std::string answer = exchange(call("/tool/x", "a", "body"), "\r\n\r\n");
+    const std::string answer = exchange(callRequest("/tool/x", "a", "body"), "\r\n\r\n");
     EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 502"));
     EXPECT_EQ(first.heads.size() + second.heads.size(), 1U);
 }
@@ -323,7 +60,7 @@
         };
     addReplica(declinesFirst);
     addReplica(declinesFirst);
-    EXPECT_THAT(exchange(call("/tool/x", "a", "body"), "served"),
+    EXPECT_THAT(exchange(callRequest("/tool/x", "a", "body"), "served"),
                 testing::StartsWith("HTTP/1.1 200"));
 }
 
@@ -335,7 +72,7 @@
             absl::StrCat("HTTP/1.1 503 Busy\r\nAttempt-Id: ", fieldOf(head, "Attempt-Id"),
                          "\r\nContent-Length: 0\r\n\r\n")};
     });
-    EXPECT_THAT(exchange(call("/tool/x", "a", "body"), "\r\n\r\n"),
+    EXPECT_THAT(exchange(callRequest("/tool/x", "a", "body"), "\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 502"));
 }
 
@@ -351,7 +88,7 @@
                              : ReplicaScript{completeResponse(head, "right") + staleResponses};
     });
     for (const char *id : {"a", "b", "c"}) {
-        const std::string answer = exchange(call("/tool/x", id, "body"), "right");
+        const std::string answer = exchange(callRequest("/tool/x", id, "body"), "right");
         EXPECT_THAT(answer, testing::HasSubstr("right")) << id;
         EXPECT_THAT(answer, testing::Not(testing::HasSubstr("wrong"))) << id;
     }
@@ -366,7 +103,7 @@
             return ReplicaScript{"", true};
         });
     }
-    const std::string answer = exchange(call("/look/x", "a", ""), "\r\n\r\n");
+    const std::string answer = exchange(callRequest("/look/x", "a", ""), "\r\n\r\n");
     EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 502"));
     std::size_t possibleRuns = 0;
     for (const ScriptedReplica *replica : replicas) {
@@ -394,7 +131,7 @@
     };
     addReplica(behaviour);
     addReplica(behaviour);
-    const std::string answer = exchange(call("/read/x", "a", "body"), "0\r\n\r\n");
+    const std::string answer = exchange(callRequest("/read/x", "a", "body"), "0\r\n\r\n");
     std::string all = answer;
     for (int id = 1; id <= 4; ++id) {
         const std::size_t position = all.find(event(id));
@@ -411,7 +148,7 @@
     addReplica([](const std::string &head, const std::string &) {
         return ReplicaScript{absl::StrCat(streamHead(head), chunk(event(1))), true};
     });
-    const std::string answer = exchange(call("/turn/x", "a", "body"), "0\r\n\r\n");
+    const std::string answer = exchange(callRequest("/turn/x", "a", "body"), "0\r\n\r\n");
     EXPECT_THAT(answer, testing::HasSubstr(event(1)));
     EXPECT_THAT(answer, testing::EndsWith("<closed>"));
 }
@@ -425,24 +162,25 @@
     });
     {
         SCOPED_TRACE("the first turn");
-        exchange(call("/turn/x", "t1", "first"), "0\r\n\r\n");
+        exchange(callRequest("/turn/x", "t1", "first"), "0\r\n\r\n");
     }
     {
         SCOPED_TRACE("two turns continue from the first");
-        exchange(call("/turn/x", "t2", "second", "Previous-Turn: t1\r\n"), "0\r\n\r\n");
-        exchange(call("/turn/x", "t3", "third", "Previous-Turn: t1\r\n"), "0\r\n\r\n");
+        exchange(callRequest("/turn/x", "t2", "second", "Previous-Turn: t1\r\n"), "0\r\n\r\n");
+        exchange(callRequest("/turn/x", "t3", "third", "Previous-Turn: t1\r\n"), "0\r\n\r\n");
     }
     {
         SCOPED_TRACE("a turn continues from the second");
-        exchange(call("/turn/x", "t4", "fourth", "Previous-Turn: t2\r\n"), "0\r\n\r\n");
+        exchange(callRequest("/turn/x", "t4", "fourth", "Previous-Turn: t2\r\n"), "0\r\n\r\n");
     }
     EXPECT_THAT(replica.bodies,
                 testing::ElementsAre("first", "firstd1\nd2\nsecond", "firstd1\nd2\nthird",
                                      "firstd1\nd2\nsecondd1\nd2\nfourth"));
     {
         SCOPED_TRACE("the previous turn is unknown");
-        EXPECT_THAT(exchange(call("/turn/x", "t5", "x", "Previous-Turn: t9\r\n"), "\r\n\r\n"),
-                    testing::StartsWith("HTTP/1.1 404"));
+        EXPECT_THAT(
+            exchange(callRequest("/turn/x", "t5", "x", "Previous-Turn: t9\r\n"), "\r\n\r\n"),
+            testing::StartsWith("HTTP/1.1 404"));
     }
 }
 
@@ -453,25 +191,25 @@
         return ReplicaScript{absl::StrCat(streamHead(head), chunk(event(1)), "0\r\n\r\n")};
     });
     const std::string budget = "Program-Id: p\r\nToken-Budget: 100\r\nToken-Usage: 10,60\r\n";
-    EXPECT_THAT(exchange(call("/read/x", "a", "x", budget), "0\r\n\r\n"),
+    EXPECT_THAT(exchange(callRequest("/read/x", "a", "x", budget), "0\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 200"));
-    EXPECT_THAT(exchange(call("/read/x", "b", "x", budget), "0\r\n\r\n"),
+    EXPECT_THAT(exchange(callRequest("/read/x", "b", "x", budget), "0\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 200"));
-    EXPECT_THAT(exchange(call("/read/x", "c", "x", budget), "0\r\n\r\n"),
+    EXPECT_THAT(exchange(callRequest("/read/x", "c", "x", budget), "0\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 200"));
-    EXPECT_THAT(exchange(call("/read/x", "d", "x", budget), "\r\n\r\n"),
+    EXPECT_THAT(exchange(callRequest("/read/x", "d", "x", budget), "\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 402"));
 }
 
 TEST_F(Session, ConfiguredLimitsAreAnsweredWithTheirStatus)
 {
     configure();
-    EXPECT_THAT(exchange(call("/tool/x", "a", std::string(6'000, 'x')), "\r\n\r\n"),
+    EXPECT_THAT(exchange(callRequest("/tool/x", "a", std::string(6'000, 'x')), "\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 413"));
-    EXPECT_THAT(
-        exchange(call("/tool/x", "a", "", absl::StrCat("X: ", std::string(3'000, 'x'), "\r\n")),
-                 "\r\n\r\n"),
-        testing::StartsWith("HTTP/1.1 431"));
+    EXPECT_THAT(exchange(callRequest("/tool/x", "a", "",
+                                     absl::StrCat("X: ", std::string(3'000, 'x'), "\r\n")),
+                         "\r\n\r\n"),
+                testing::StartsWith("HTTP/1.1 431"));
     EXPECT_THAT(exchange("POST /tool/x HTTP/1.1\r\nHost: h\r\n", "\r\n\r\n"),
                 testing::StartsWith("HTTP/1.1 408"));
     EXPECT_THAT(exchange("no request at all\r\n\r\n", "\r\n\r\n"),
@@ -489,7 +227,7 @@
         return ReplicaScript{completeResponse(head, "the bytes")};
     });
     m_front.drain();
-    const std::string answer = exchange(call("/tool/x", "a", "body"), "the bytes");
+    const std::string answer = exchange(callRequest("/tool/x", "a", "body"), "the bytes");
     EXPECT_THAT(answer, testing::HasSubstr("Connection: close\r\n"));
 }
 
