--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -379,6 +379,11 @@
             if (alreadySent) {
                 continue;
             }
+            if (progress.events == 0) {
+                asio::post(m_control, [this, handle = progress.dispatch.handle] {
+                    m_scheduler.noteStreamStarted(handle);
+                });
+            }
             if (!co_await sendEvent(progress, head, event->text)) {
                 co_return AttemptResult::CallerGone;
             }
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -47,6 +47,9 @@
     case CallRefusalReason::BadCall:
     case CallRefusalReason::BudgetExhausted:
     case CallRefusalReason::UnknownTurn:
+    // The caller has to begin the stream again.
+    case CallRefusalReason::StreamVersionUnknown:
+    case CallRefusalReason::StreamVersionGone:
         break;
     }
     return Milliseconds(0);
@@ -79,6 +82,10 @@
         return "no-replica";
     case CallRefusalReason::DeadlineExceeded:
         return "out-of-time";
+    case CallRefusalReason::StreamVersionUnknown:
+        return "version-unknown";
+    case CallRefusalReason::StreamVersionGone:
+        return "version-gone";
     }
     return "unknown";
 }
@@ -130,7 +137,50 @@
         refuse(handle, refusal->reason);
         return;
     }
-    if (opened.route->storesTurns && !opened.incoming.previousTurn.value().empty()) {
+    if (opened.route->kind == RequestKind::Stream && opened.incoming.resumption.has_value()) {
+        findStreamOrigin(handle);
+        return;
+    }
+    prepare(handle);
+}
+
+void CallScheduler::findStreamOrigin(CallHandle handle)
+{
+    const Call &call = m_calls[handle];
+    const AttemptId &firstAttempt = call.incoming.resumption->firstAttempt;
+    if (!firstAttempt.value().empty()) {
+        m_dependencies.streams.find(
+            firstAttempt, call.service,
+            [this, handle](const OriginLookup &lookup) { setStreamOrigin(handle, lookup); });
+        return;
+    }
+    // The caller doesn't say where the stream began, so nobody can be asked.
+    OriginLookup lookup;
+    const auto version = m_dependencies.replicas.presentVersion(call.service);
+    if (version.has_value()) {
+        lookup = {StreamOrigin{call.service, *version, ReplicaId()}, OriginSource::OnlyVersion};
+    }
+    setStreamOrigin(handle, lookup);
+}
+
+void CallScheduler::setStreamOrigin(CallHandle handle, const OriginLookup &lookup)
+{
+    Call &call = m_calls[handle];
+    call.streamOrigin = lookup.origin;
+    call.originSource = lookup.source;
+    const bool usable = lookup.origin.has_value() && lookup.origin->service == call.service
+        && m_dependencies.streams.isCertain(*lookup.origin);
+    if (!usable) {
+        refuse(handle, CallRefusalReason::StreamVersionUnknown);
+        return;
+    }
+    prepare(handle);
+}
+
+void CallScheduler::prepare(CallHandle handle)
+{
+    const Call &call = m_calls[handle];
+    if (call.route->storesTurns && !call.incoming.previousTurn.value().empty()) {
         loadHistory(handle);
         return;
     }
@@ -206,6 +256,12 @@
         return nullptr;
     }
     PlacementRequest request;
+    if (call.streamOrigin.has_value()) {
+        if (!m_dependencies.streams.isCertain(*call.streamOrigin)) {
+            return nullptr;
+        }
+        request.requiredVersion = call.streamOrigin->version;
+    }
     request.service = call.service;
     request.triedReplicas = call.triedReplicas;
     request.zone = m_dependencies.zone;
@@ -239,10 +295,23 @@
     } else if (hasEligibleReplica(call)) {
         enqueue(handle);
     } else {
-        refuse(handle, CallRefusalReason::NoReplica);
+        refuse(handle, noReplicaReason(call));
     }
 }
 
+CallRefusalReason CallScheduler::noReplicaReason(const Call &call) const
+{
+    if (!call.streamOrigin.has_value()) {
+        return CallRefusalReason::NoReplica;
+    }
+    for (const ReplicaState *replica : m_dependencies.replicas.usable(call.service)) {
+        if (replica->entry.softwareVersion == call.streamOrigin->version) {
+            return CallRefusalReason::NoReplica;
+        }
+    }
+    return CallRefusalReason::StreamVersionGone;
+}
+
 bool CallScheduler::hasEligibleReplica(const Call &call) const
 {
     return selectReplica(call, std::numeric_limits<std::int64_t>::max()) != nullptr;
@@ -256,7 +325,7 @@
     queued.service = call.service;
     queued.programDeadline = call.incoming.programDeadline;
     queued.priority = call.route->priority;
-    queued.programStarted = !call.promptReplica.value().empty();
+    queued.programStarted = !call.promptReplica.value().empty() || call.streamOrigin.has_value();
     queued.queuedAt = m_dependencies.clock.now();
     m_queue.push_back(std::move(queued));
     scheduleQueueCheck();
@@ -290,7 +359,7 @@
             dispatchTo(call, item.handle, *replica);
         } else if (!hasEligibleReplica(call) || now >= item.queuedAt + MaxQueueTime
                    || now >= call.deadline) {
-            refuse(item.handle, CallRefusalReason::NoReplica);
+            refuse(item.handle, noReplicaReason(call));
         } else {
             stillQueued.push_back(std::move(item));
         }
@@ -358,6 +427,21 @@
     dispatch(handle);
 }
 
+void CallScheduler::noteStreamStarted(CallHandle handle)
+{
+    const auto found = m_calls.find(handle);
+    if (found == m_calls.end() || found->second.streamOrigin.has_value()) {
+        return;
+    }
+    Call &call = found->second;
+    const AttemptedReplica &replica = call.attemptedReplicas.back();
+    call.streamOrigin = StreamOrigin{call.service, replica.version, replica.id};
+    call.originSource = OriginSource::Recorded;
+    if (call.route->resumable) {
+        m_dependencies.streams.note(call.incoming.attempt, *call.streamOrigin);
+    }
+}
+
 void CallScheduler::endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation)
 {
     releaseReplica(m_calls[handle], observation);
@@ -433,6 +517,8 @@
             .add("most", call.incoming.maxTurnTokens);
         break;
     case CallRefusalReason::NoReplica:
+    case CallRefusalReason::StreamVersionUnknown:
+    case CallRefusalReason::StreamVersionGone:
         line.add("service", call.service.value())
             .add("replicas_known",
                  static_cast<std::int64_t>(m_dependencies.replicas.usable(call.service).size()))
@@ -479,7 +565,10 @@
     }
     if (call.incoming.resumption.has_value()) {
         line.add("resumes", call.incoming.resumption->firstAttempt.value())
-            .add("after_event", call.incoming.resumption->lastEventId);
+            .add("after_event", call.incoming.resumption->lastEventId)
+            .add("began_at",
+                 call.streamOrigin.has_value() ? call.streamOrigin->version.value() : "")
+            .add("began_at_known", std::string(originSourceName(call.originSource)));
     }
     if (!call.attemptedReplicas.empty()) {
         addPlacementDetails(call, line);
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -6,6 +6,7 @@
 #include "control/replica_table.h"
 #include "control/route_table.h"
 #include "control/store_health.h"
+#include "control/stream_origins.h"
 #include "control/turn_archive.h"
 #include "control/vm_directory.h"
 #include "core/clock.h"
@@ -71,6 +72,10 @@
     StoreUnavailable,
     NoReplica,
     DeadlineExceeded,
+    /** Nobody knows which software version began the stream that the call continues. */
+    StreamVersionUnknown,
+    /** No replica of the version that began the stream is left. */
+    StreamVersionGone,
 };
 
 /** Name of the reason in log lines. */
@@ -138,6 +143,7 @@
         ReplicaTable &replicas;
         LedgerRelay &ledger;
         TurnArchive &turns;
+        StreamOrigins &streams;
         const VmDirectory &vms;
         const StoreHealth &health;
         ZoneId zone;
@@ -157,6 +163,8 @@
     /** Ends the attempt at the current replica and asks for another replica. */
     void retryOnOtherReplica(CallHandle handle, const ReplicaObservation &observation,
                              std::function<void(const CallDecision &)> done);
+    /** The caller gets the first event of a stream now; only the same version may go on with it. */
+    void noteStreamStarted(CallHandle handle);
     /** Ends the attempt at the current replica; the call stays open. */
     void endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation);
     /**
@@ -185,6 +193,9 @@
         SteadyTime openedAt;
         SteadyTime deadline;
         ConversationSnapshotPtr history;
+        /** Set once the caller has events of the stream: the software that may go on with it. */
+        std::optional<StreamOrigin> streamOrigin;
+        OriginSource originSource = OriginSource::Unknown;
         bool budgetReserved = false;
         /** The replica that probably has the prompt's prefix cached; empty if not known. */
         ReplicaId promptReplica;
@@ -203,6 +214,11 @@
 
     /** Sets the call's route, service and deadline; returns a refusal if there is no route. */
     std::optional<CallRefusal> resolveRoute(Call &call) const;
+    /** Finds out which software version began the stream that the call continues. */
+    void findStreamOrigin(CallHandle handle);
+    void setStreamOrigin(CallHandle handle, const OriginLookup &lookup);
+    /** Loads what the call needs before it can be dispatched. */
+    void prepare(CallHandle handle);
     void loadHistory(CallHandle handle);
     void reserveBudget(CallHandle handle);
     void dispatch(CallHandle handle);
@@ -218,6 +234,8 @@
     /** Sends queued calls to free slots in queue order, and refuses those that waited too long. */
     void dispatchQueued();
     void refuse(CallHandle handle, CallRefusalReason reason);
+    /** Why no replica can serve the call. */
+    CallRefusalReason noReplicaReason(const Call &call) const;
     /** Connections that this VM may have open to each replica of a service. */
     std::int64_t connectionShare(const PoolName &service) const;
     void storeTurn(const Call &call, const CallCompletion &completion,
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -34,6 +34,10 @@
 /** Cost of a replica in another zone, as a share of the request's own service time: the network
  * between the zones is crossed twice. */
 constexpr double CrossZoneCost = 0.15;
+/** Longer than a caller goes on with a stream, all its tries included. */
+constexpr Milliseconds MaxStreamLifetime{15'000};
+/** After a longer time between two reads, replicas may have come and gone unseen. */
+constexpr Milliseconds MaxRegistryReadGap{2'000};
 
 Duration smoothed(Duration old, Duration sample)
 {
@@ -115,8 +119,18 @@
 ReplicaTable::ReplicaTable(const Clock &clock)
     : m_clock(clock)
     , m_registryReadAt(clock.now())
+    , m_registryFollowedSince(clock.now())
 { }
 
+void ReplicaTable::noteRegistryRead()
+{
+    const SteadyTime now = m_clock.now();
+    if (now > m_registryReadAt + MaxRegistryReadGap) {
+        m_registryFollowedSince = now;
+    }
+    m_registryReadAt = now;
+}
+
 void ReplicaTable::replaceAll(const std::vector<ReplicaEntry> &entries,
                               SteadyTime registryCompleteAt)
 {
@@ -140,8 +154,10 @@
 {
     ReplicaState &replica = m_replicas[entry.id];
     const bool restarted = replica.entry.startedAtMillis != entry.startedAtMillis
-        || replica.entry.endpoint != entry.endpoint;
+        || replica.entry.endpoint != entry.endpoint
+        || replica.entry.softwareVersion != entry.softwareVersion;
     if (restarted) {
+        noteVersionGone(replica.entry);
         const std::int64_t ownRequests = replica.ownRequests;
         replica = {};
         replica.ownRequests = ownRequests;
@@ -157,6 +173,7 @@
         return;
     }
     if (m_clock.now() >= registryCompleteAt) {
+        noteVersionGone(found->second.entry);
         m_replicas.erase(found);
         return;
     }
@@ -172,11 +189,55 @@
         }
     }
     for (const ReplicaId &id : expired) {
+        noteVersionGone(m_replicas[id].entry);
         m_replicas.erase(id);
     }
     return expired;
 }
 
+void ReplicaTable::noteVersionGone(const ReplicaEntry &entry)
+{
+    const SteadyTime now = m_clock.now();
+    std::erase_if(m_versionsGoneAt,
+                  [&](const auto &item) { return now >= item.second + MaxStreamLifetime; });
+    if (!entry.service.value().empty()) {
+        m_versionsGoneAt[{entry.service, entry.softwareVersion}] = now;
+    }
+}
+
+std::optional<SoftwareVersion> ReplicaTable::presentVersion(const PoolName &service) const
+{
+    std::optional<SoftwareVersion> version;
+    for (const auto &[id, replica] : m_replicas) {
+        if (replica.entry.service != service) {
+            continue;
+        }
+        if (version.has_value() && *version != replica.entry.softwareVersion) {
+            return std::nullopt;
+        }
+        version = replica.entry.softwareVersion;
+    }
+    return version;
+}
+
+std::optional<SoftwareVersion> ReplicaTable::onlyVersion(const PoolName &service) const
+{
+    const SteadyTime now = m_clock.now();
+    const std::optional<SoftwareVersion> version = presentVersion(service);
+    const bool followed = now >= m_registryFollowedSince + MaxStreamLifetime
+        && now <= m_registryReadAt + MaxRegistryReadGap;
+    if (!version.has_value() || !followed) {
+        return std::nullopt;
+    }
+    for (const auto &[gone, goneAt] : m_versionsGoneAt) {
+        if (gone.service == service && gone.version != *version
+            && now < goneAt + MaxStreamLifetime) {
+            return std::nullopt;
+        }
+    }
+    return version;
+}
+
 void ReplicaTable::beginRequest(const ReplicaId &id)
 {
     const auto found = m_replicas.find(id);
@@ -314,6 +375,8 @@
     std::vector<const ReplicaState *> candidates = table.usable(request.service);
     std::erase_if(candidates, [&](const ReplicaState *replica) {
         return request.triedReplicas.contains(replica->entry.id)
+            || (request.requiredVersion.has_value()
+                && replica->entry.softwareVersion != *request.requiredVersion)
             || replica->ownRequests >= request.maxOwnRequests;
     });
     if (candidates.empty()) {
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -103,6 +103,8 @@
      * preference. */
     std::string affinityKey;
     std::set<ReplicaId> triedReplicas;
+    /** Only replicas of this software version may serve the request; none for any version. */
+    std::optional<SoftwareVersion> requiredVersion = std::nullopt;
     ZoneId zone;
     /** Requests that this VM may have in progress at one replica. */
     std::int64_t maxOwnRequests = std::numeric_limits<std::int64_t>::max();
@@ -121,7 +123,7 @@
     explicit ReplicaTable(const Clock &clock);
 
     /** The registry has just been read, or has reported that nothing changed. */
-    void noteRegistryRead() { m_registryReadAt = m_clock.now(); }
+    void noteRegistryRead();
     /** Time since the registry was last read. */
     Duration registryAge() const { return m_clock.now() - m_registryReadAt; }
     /**
@@ -146,10 +148,33 @@
     /** Replicas of a service that are not draining. */
     std::vector<const ReplicaState *> usable(const PoolName &service) const;
 
+    /** The version of all replicas of a service that are known now; none if they differ. */
+    std::optional<SoftwareVersion> presentVersion(const PoolName &service) const;
+    /**
+     * The version of all replicas that a service has had for longer than any stream lasts; none if
+     * there were several, or if the registry was not followed all that time.
+     */
+    std::optional<SoftwareVersion> onlyVersion(const PoolName &service) const;
+
 private:
+    /** Software of a service that has or had replicas. */
+    struct ServiceVersion
+    {
+        PoolName service;
+        SoftwareVersion version;
+
+        friend auto operator<=>(const ServiceVersion &, const ServiceVersion &) = default;
+    };
+
+    void noteVersionGone(const ReplicaEntry &entry);
+
     const Clock &m_clock;
     std::map<ReplicaId, ReplicaState> m_replicas;
     SteadyTime m_registryReadAt;
+    /** Since then, no longer time has passed between two reads than MaxRegistryReadGap. */
+    SteadyTime m_registryFollowedSince;
+    /** When a replica was last taken out of the table, or got another version. */
+    std::map<ServiceVersion, SteadyTime> m_versionsGoneAt;
 };
 
 /** The data that the choice of a replica was based on, for the log. */
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace boragepath {
 
@@ -322,6 +323,24 @@
     return best;
 }
 
+std::vector<Endpoint> VmDirectory::rankedFor(const std::string &item, std::size_t count) const
+{
+    std::multimap<std::uint64_t, Endpoint, std::greater<>> byWeight;
+    for (const auto &[vm, entry] : m_others) {
+        if (isLive(entry) && !entry.leaving) {
+            byWeight.emplace(rendezvousWeight(item, vm.value()), entry.peers);
+        }
+    }
+    std::vector<Endpoint> ranked;
+    for (const auto &[weight, endpoint] : byWeight) {
+        if (ranked.size() == count) {
+            break;
+        }
+        ranked.push_back(endpoint);
+    }
+    return ranked;
+}
+
 std::optional<Endpoint> VmDirectory::randomLiveVm()
 {
     std::vector<Endpoint> live;
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -114,6 +114,11 @@
      * is this VM.
      */
     std::optional<Endpoint> coordinatorFor(const std::string &item) const;
+    /**
+     * The other live VMs, at most @p count, in the order in which rendezvous hashing ranks them
+     * for @p item. VMs that agree on who is live get the same order, but for themselves.
+     */
+    std::vector<Endpoint> rankedFor(const std::string &item, std::size_t count) const;
     /** True if the VM whose address for datagrams is @p peers is live. */
     bool isLiveAt(const Endpoint &peers) const;
     /** True if the VM @p vm is live. */
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -111,8 +111,12 @@
     , m_ledgerRelay(
           m_clock, m_timers, m_ledger, m_grants, m_vms,
           [this](const Endpoint &to, const peers::LedgerNote &note) { sendLedgerNote(to, note); })
-    , m_scheduler(
-          {m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_vms, m_health, m_settings.zone})
+    , m_streams(m_timers, m_replicas, m_vms,
+                [this](const Endpoint &to, const peers::StreamOriginNote &note) {
+                    sendStreamOrigin(to, note);
+                })
+    , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_streams, m_vms,
+                   m_health, m_settings.zone})
     , m_sweeper(
           m_clock, m_timers, m_store, m_vms,
           [this] { return maxTurnRetention(m_scheduler.routes()); }, seed)
@@ -282,6 +286,13 @@
     sendToPeer(to, envelope);
 }
 
+void PlatformDaemon::sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note)
+{
+    peers::Envelope envelope;
+    envelope.__set_streamOrigin(note);
+    sendToPeer(to, envelope);
+}
+
 void PlatformDaemon::sendToPeer(const Endpoint &to, peers::Envelope envelope)
 {
     envelope.vm = m_settings.vm.value();
@@ -295,6 +306,9 @@
     if (envelope.__isset.ledgerNote && sender.ok()) {
         m_ledgerRelay.receive(*sender, envelope.ledgerNote);
     }
+    if (envelope.__isset.streamOrigin && sender.ok()) {
+        m_streams.receive(*sender, envelope.streamOrigin);
+    }
     if (envelope.__isset.registryCopy) {
         m_registry.loadCopy(
             {envelope.registryCopy.configuration, envelope.registryCopy.registrations});
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -72,6 +72,7 @@
     void requestRegistryCopy();
     void sendRegistryCopy(const Endpoint &to);
     void sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note);
+    void sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note);
     /** Adds the sender to an envelope and sends it. */
     void sendToPeer(const Endpoint &to, peers::Envelope envelope);
     void receive(const peers::Envelope &envelope);
@@ -102,6 +103,7 @@
     VmMembership m_membership;
     BudgetGrants m_grants;
     LedgerRelay m_ledgerRelay;
+    StreamOrigins m_streams;
     CallScheduler m_scheduler;
     RowSweeper m_sweeper;
     platform::RegistryReader m_registry;
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -110,6 +110,68 @@
   }
 }
 
+int _kStreamOriginNoteKindValues[] = {
+  StreamOriginNoteKind::ANNOUNCEMENT,
+  StreamOriginNoteKind::QUESTION,
+  StreamOriginNoteKind::ANSWER
+};
+const char* _kStreamOriginNoteKindNames[] = {
+  "ANNOUNCEMENT",
+  "QUESTION",
+  "ANSWER"
+};
+const std::map<int, const char*> _StreamOriginNoteKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kStreamOriginNoteKindValues, _kStreamOriginNoteKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _StreamOriginNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _StreamOriginNoteKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const StreamOriginNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _StreamOriginNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _StreamOriginNoteKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kOriginKnowledgeValues[] = {
+  OriginKnowledge::UNKNOWN,
+  OriginKnowledge::RECORDED,
+  OriginKnowledge::ONLY_VERSION
+};
+const char* _kOriginKnowledgeNames[] = {
+  "UNKNOWN",
+  "RECORDED",
+  "ONLY_VERSION"
+};
+const std::map<int, const char*> _OriginKnowledge_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kOriginKnowledgeValues, _kOriginKnowledgeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const OriginKnowledge::type& val) {
+  std::map<int, const char*>::const_iterator it = _OriginKnowledge_VALUES_TO_NAMES.find(val);
+  if (it != _OriginKnowledge_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const OriginKnowledge::type& val) {
+  std::map<int, const char*>::const_iterator it = _OriginKnowledge_VALUES_TO_NAMES.find(val);
+  if (it != _OriginKnowledge_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Suspicion::~Suspicion() noexcept {
 }
@@ -2291,6 +2353,222 @@
 }
 
 
+StreamOriginNote::~StreamOriginNote() noexcept {
+}
+
+
+void StreamOriginNote::__set_kind(const StreamOriginNoteKind::type val) {
+  this->kind = val;
+}
+
+void StreamOriginNote::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void StreamOriginNote::__set_firstAttempt(const std::string& val) {
+  this->firstAttempt = val;
+}
+
+void StreamOriginNote::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void StreamOriginNote::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void StreamOriginNote::__set_replica(const std::string& val) {
+  this->replica = val;
+}
+
+void StreamOriginNote::__set_knowledge(const OriginKnowledge::type val) {
+  this->knowledge = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast53;
+          xfer += iprot->readI32(ecast53);
+          this->kind = static_cast<StreamOriginNoteKind::type>(ecast53);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->firstAttempt);
+          this->__isset.firstAttempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->replica);
+          this->__isset.replica = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast54;
+          xfer += iprot->readI32(ecast54);
+          this->knowledge = static_cast<OriginKnowledge::type>(ecast54);
+          this->__isset.knowledge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginNote");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("firstAttempt", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->firstAttempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replica", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->replica);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("knowledge", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->knowledge));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginNote &a, StreamOriginNote &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.id, b.id);
+  swap(a.firstAttempt, b.firstAttempt);
+  swap(a.pool, b.pool);
+  swap(a.version, b.version);
+  swap(a.replica, b.replica);
+  swap(a.knowledge, b.knowledge);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginNote::StreamOriginNote(const StreamOriginNote& other55) {
+  kind = other55.kind;
+  id = other55.id;
+  firstAttempt = other55.firstAttempt;
+  pool = other55.pool;
+  version = other55.version;
+  replica = other55.replica;
+  knowledge = other55.knowledge;
+  __isset = other55.__isset;
+}
+StreamOriginNote& StreamOriginNote::operator=(const StreamOriginNote& other56) {
+  kind = other56.kind;
+  id = other56.id;
+  firstAttempt = other56.firstAttempt;
+  pool = other56.pool;
+  version = other56.version;
+  replica = other56.replica;
+  knowledge = other56.knowledge;
+  __isset = other56.__isset;
+  return *this;
+}
+void StreamOriginNote::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginNote(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "firstAttempt=" << to_string(firstAttempt);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "replica=" << to_string(replica);
+  out << ", " << "knowledge=" << to_string(knowledge);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -2372,6 +2650,11 @@
   this->unknownVms = val;
 __isset.unknownVms = true;
 }
+
+void Envelope::__set_streamOrigin(const StreamOriginNote& val) {
+  this->streamOrigin = val;
+__isset.streamOrigin = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -2428,14 +2711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->permitRequests.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->permitRequests.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->permitRequests[_i57].read(iprot);
+              xfer += this->permitRequests[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2448,14 +2731,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitAnswers.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->permitAnswers.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->permitAnswers.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->permitAnswers[_i62].read(iprot);
+              xfer += this->permitAnswers[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2468,14 +2751,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReleases.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->permitReleases.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->permitReleases.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->permitReleases[_i67].read(iprot);
+              xfer += this->permitReleases[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2488,14 +2771,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitsReleased.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->permitsReleased.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->permitsReleased.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->permitsReleased[_i72].read(iprot);
+              xfer += this->permitsReleased[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2516,14 +2799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmNews.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->vmNews.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->vmNews.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->vmNews[_i77].read(iprot);
+              xfer += this->vmNews[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2576,14 +2859,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmHeartbeats.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->vmHeartbeats.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->vmHeartbeats.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->vmHeartbeats[_i82].read(iprot);
+              xfer += this->vmHeartbeats[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2596,14 +2879,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknownVms.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->unknownVms.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->unknownVms.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readI64(this->unknownVms[_i87]);
+              xfer += iprot->readI64(this->unknownVms[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2612,6 +2895,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->streamOrigin.read(iprot);
+          this->__isset.streamOrigin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2646,10 +2937,10 @@
     xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-      std::vector<PermitRequest> ::const_iterator _iter88;
-      for (_iter88 = this->permitRequests.begin(); _iter88 != this->permitRequests.end(); ++_iter88)
+      std::vector<PermitRequest> ::const_iterator _iter92;
+      for (_iter92 = this->permitRequests.begin(); _iter92 != this->permitRequests.end(); ++_iter92)
       {
-        xfer += (*_iter88).write(oprot);
+        xfer += (*_iter92).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2659,10 +2950,10 @@
     xfer += oprot->writeFieldBegin("permitAnswers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitAnswers.size()));
-      std::vector<PermitAnswer> ::const_iterator _iter89;
-      for (_iter89 = this->permitAnswers.begin(); _iter89 != this->permitAnswers.end(); ++_iter89)
+      std::vector<PermitAnswer> ::const_iterator _iter93;
+      for (_iter93 = this->permitAnswers.begin(); _iter93 != this->permitAnswers.end(); ++_iter93)
       {
-        xfer += (*_iter89).write(oprot);
+        xfer += (*_iter93).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2672,10 +2963,10 @@
     xfer += oprot->writeFieldBegin("permitReleases", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReleases.size()));
-      std::vector<PermitRelease> ::const_iterator _iter90;
-      for (_iter90 = this->permitReleases.begin(); _iter90 != this->permitReleases.end(); ++_iter90)
+      std::vector<PermitRelease> ::const_iterator _iter94;
+      for (_iter94 = this->permitReleases.begin(); _iter94 != this->permitReleases.end(); ++_iter94)
       {
-        xfer += (*_iter90).write(oprot);
+        xfer += (*_iter94).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2685,10 +2976,10 @@
     xfer += oprot->writeFieldBegin("permitsReleased", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitsReleased.size()));
-      std::vector<PermitReleased> ::const_iterator _iter91;
-      for (_iter91 = this->permitsReleased.begin(); _iter91 != this->permitsReleased.end(); ++_iter91)
+      std::vector<PermitReleased> ::const_iterator _iter95;
+      for (_iter95 = this->permitsReleased.begin(); _iter95 != this->permitsReleased.end(); ++_iter95)
       {
-        xfer += (*_iter91).write(oprot);
+        xfer += (*_iter95).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2703,10 +2994,10 @@
     xfer += oprot->writeFieldBegin("vmNews", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmNews.size()));
-      std::vector<VmNews> ::const_iterator _iter92;
-      for (_iter92 = this->vmNews.begin(); _iter92 != this->vmNews.end(); ++_iter92)
+      std::vector<VmNews> ::const_iterator _iter96;
+      for (_iter96 = this->vmNews.begin(); _iter96 != this->vmNews.end(); ++_iter96)
       {
-        xfer += (*_iter92).write(oprot);
+        xfer += (*_iter96).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2741,10 +3032,10 @@
     xfer += oprot->writeFieldBegin("vmHeartbeats", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmHeartbeats.size()));
-      std::vector<VmHeartbeat> ::const_iterator _iter93;
-      for (_iter93 = this->vmHeartbeats.begin(); _iter93 != this->vmHeartbeats.end(); ++_iter93)
+      std::vector<VmHeartbeat> ::const_iterator _iter97;
+      for (_iter97 = this->vmHeartbeats.begin(); _iter97 != this->vmHeartbeats.end(); ++_iter97)
       {
-        xfer += (*_iter93).write(oprot);
+        xfer += (*_iter97).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2754,15 +3045,20 @@
     xfer += oprot->writeFieldBegin("unknownVms", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownVms.size()));
-      std::vector<int64_t> ::const_iterator _iter94;
-      for (_iter94 = this->unknownVms.begin(); _iter94 != this->unknownVms.end(); ++_iter94)
+      std::vector<int64_t> ::const_iterator _iter98;
+      for (_iter98 = this->unknownVms.begin(); _iter98 != this->unknownVms.end(); ++_iter98)
       {
-        xfer += oprot->writeI64((*_iter94));
+        xfer += oprot->writeI64((*_iter98));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.streamOrigin) {
+    xfer += oprot->writeFieldBegin("streamOrigin", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->streamOrigin.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2786,46 +3082,49 @@
   swap(a.registryCopy, b.registryCopy);
   swap(a.vmHeartbeats, b.vmHeartbeats);
   swap(a.unknownVms, b.unknownVms);
+  swap(a.streamOrigin, b.streamOrigin);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other95) {
-  vm = other95.vm;
-  fence = other95.fence;
-  probe = other95.probe;
-  permitRequests = other95.permitRequests;
-  permitAnswers = other95.permitAnswers;
-  permitReleases = other95.permitReleases;
-  permitsReleased = other95.permitsReleased;
-  heldPrograms = other95.heldPrograms;
-  vmNews = other95.vmNews;
-  wantsNews = other95.wantsNews;
-  ledgerNote = other95.ledgerNote;
-  replyTo = other95.replyTo;
-  wantsRegistry = other95.wantsRegistry;
-  registryCopy = other95.registryCopy;
-  vmHeartbeats = other95.vmHeartbeats;
-  unknownVms = other95.unknownVms;
-  __isset = other95.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other96) {
-  vm = other96.vm;
-  fence = other96.fence;
-  probe = other96.probe;
-  permitRequests = other96.permitRequests;
-  permitAnswers = other96.permitAnswers;
-  permitReleases = other96.permitReleases;
-  permitsReleased = other96.permitsReleased;
-  heldPrograms = other96.heldPrograms;
-  vmNews = other96.vmNews;
-  wantsNews = other96.wantsNews;
-  ledgerNote = other96.ledgerNote;
-  replyTo = other96.replyTo;
-  wantsRegistry = other96.wantsRegistry;
-  registryCopy = other96.registryCopy;
-  vmHeartbeats = other96.vmHeartbeats;
-  unknownVms = other96.unknownVms;
-  __isset = other96.__isset;
+Envelope::Envelope(const Envelope& other99) {
+  vm = other99.vm;
+  fence = other99.fence;
+  probe = other99.probe;
+  permitRequests = other99.permitRequests;
+  permitAnswers = other99.permitAnswers;
+  permitReleases = other99.permitReleases;
+  permitsReleased = other99.permitsReleased;
+  heldPrograms = other99.heldPrograms;
+  vmNews = other99.vmNews;
+  wantsNews = other99.wantsNews;
+  ledgerNote = other99.ledgerNote;
+  replyTo = other99.replyTo;
+  wantsRegistry = other99.wantsRegistry;
+  registryCopy = other99.registryCopy;
+  vmHeartbeats = other99.vmHeartbeats;
+  unknownVms = other99.unknownVms;
+  streamOrigin = other99.streamOrigin;
+  __isset = other99.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other100) {
+  vm = other100.vm;
+  fence = other100.fence;
+  probe = other100.probe;
+  permitRequests = other100.permitRequests;
+  permitAnswers = other100.permitAnswers;
+  permitReleases = other100.permitReleases;
+  permitsReleased = other100.permitsReleased;
+  heldPrograms = other100.heldPrograms;
+  vmNews = other100.vmNews;
+  wantsNews = other100.wantsNews;
+  ledgerNote = other100.ledgerNote;
+  replyTo = other100.replyTo;
+  wantsRegistry = other100.wantsRegistry;
+  registryCopy = other100.registryCopy;
+  vmHeartbeats = other100.vmHeartbeats;
+  unknownVms = other100.unknownVms;
+  streamOrigin = other100.streamOrigin;
+  __isset = other100.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -2847,6 +3146,7 @@
   out << ", " << "registryCopy="; (__isset.registryCopy ? (out << to_string(registryCopy)) : (out << "<null>"));
   out << ", " << "vmHeartbeats="; (__isset.vmHeartbeats ? (out << to_string(vmHeartbeats)) : (out << "<null>"));
   out << ", " << "unknownVms="; (__isset.unknownVms ? (out << to_string(unknownVms)) : (out << "<null>"));
+  out << ", " << "streamOrigin="; (__isset.streamOrigin ? (out << to_string(streamOrigin)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -65,6 +65,34 @@
 
 std::string to_string(const LedgerOutcome::type& val);
 
+struct StreamOriginNoteKind {
+  enum type {
+    ANNOUNCEMENT = 0,
+    QUESTION = 1,
+    ANSWER = 2
+  };
+};
+
+extern const std::map<int, const char*> _StreamOriginNoteKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginNoteKind::type& val);
+
+std::string to_string(const StreamOriginNoteKind::type& val);
+
+struct OriginKnowledge {
+  enum type {
+    UNKNOWN = 0,
+    RECORDED = 1,
+    ONLY_VERSION = 2
+  };
+};
+
+extern const std::map<int, const char*> _OriginKnowledge_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const OriginKnowledge::type& val);
+
+std::string to_string(const OriginKnowledge::type& val);
+
 class Suspicion;
 
 class ReplicaLoad;
@@ -89,6 +117,8 @@
 
 class LedgerNote;
 
+class StreamOriginNote;
+
 class Envelope;
 
 typedef struct _Suspicion__isset {
@@ -964,8 +994,101 @@
 
 std::ostream& operator<<(std::ostream& out, const LedgerNote& obj);
 
+typedef struct _StreamOriginNote__isset {
+  _StreamOriginNote__isset() : kind(false), id(false), firstAttempt(false), pool(false), version(false), replica(false), knowledge(false) {}
+  bool kind :1;
+  bool id :1;
+  bool firstAttempt :1;
+  bool pool :1;
+  bool version :1;
+  bool replica :1;
+  bool knowledge :1;
+} _StreamOriginNote__isset;
+
+class StreamOriginNote : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginNote(const StreamOriginNote&);
+  StreamOriginNote& operator=(const StreamOriginNote&);
+  StreamOriginNote() noexcept
+                   : kind(static_cast<StreamOriginNoteKind::type>(0)),
+                     id(0),
+                     firstAttempt(),
+                     pool(),
+                     version(),
+                     replica(),
+                     knowledge(static_cast<OriginKnowledge::type>(0)) {
+  }
+
+  virtual ~StreamOriginNote() noexcept;
+  /**
+   * 
+   * @see StreamOriginNoteKind
+   */
+  StreamOriginNoteKind::type kind;
+  int64_t id;
+  std::string firstAttempt;
+  std::string pool;
+  std::string version;
+  std::string replica;
+  /**
+   * 
+   * @see OriginKnowledge
+   */
+  OriginKnowledge::type knowledge;
+
+  _StreamOriginNote__isset __isset;
+
+  void __set_kind(const StreamOriginNoteKind::type val);
+
+  void __set_id(const int64_t val);
+
+  void __set_firstAttempt(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_version(const std::string& val);
+
+  void __set_replica(const std::string& val);
+
+  void __set_knowledge(const OriginKnowledge::type val);
+
+  bool operator == (const StreamOriginNote & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(firstAttempt == rhs.firstAttempt))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(replica == rhs.replica))
+      return false;
+    if (!(knowledge == rhs.knowledge))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginNote &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginNote & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginNote &a, StreamOriginNote &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginNote& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -982,6 +1105,7 @@
   bool registryCopy :1;
   bool vmHeartbeats :1;
   bool unknownVms :1;
+  bool streamOrigin :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1014,6 +1138,7 @@
   RegistryCopy registryCopy;
   std::vector<VmHeartbeat>  vmHeartbeats;
   std::vector<int64_t>  unknownVms;
+  StreamOriginNote streamOrigin;
 
   _Envelope__isset __isset;
 
@@ -1049,6 +1174,8 @@
 
   void __set_unknownVms(const std::vector<int64_t> & val);
 
+  void __set_streamOrigin(const StreamOriginNote& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1111,6 +1238,10 @@
       return false;
     else if (__isset.unknownVms && !(unknownVms == rhs.unknownVms))
       return false;
+    if (__isset.streamOrigin != rhs.__isset.streamOrigin)
+      return false;
+    else if (__isset.streamOrigin && !(streamOrigin == rhs.streamOrigin))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -166,6 +166,36 @@
     10: string replica;
 }
 
+enum StreamOriginNoteKind {
+    // A stream has begun; the receiver remembers its origin.
+    ANNOUNCEMENT = 0,
+    QUESTION = 1,
+    ANSWER = 2,
+}
+
+// How the answering VM knows the version that began a stream.
+enum OriginKnowledge {
+    UNKNOWN = 0,
+    RECORDED = 1,
+    // It has no record, but the service has had no other version for longer than a stream lasts.
+    ONLY_VERSION = 2,
+}
+
+// Which software version began a stream that its caller may take up at another VM.
+struct StreamOriginNote {
+    1: StreamOriginNoteKind kind;
+    // Chosen by the asking VM; the answers carry the same id.
+    2: i64 id;
+    // The caller's attempt that brought the first event of the stream.
+    3: string firstAttempt;
+    // Name of the service.
+    4: string pool;
+    5: string version;
+    // The replica that began the stream; empty if only the version is known.
+    6: string replica;
+    7: OriginKnowledge knowledge;
+}
+
 // One datagram.
 struct Envelope {
     1: string vm;
@@ -189,4 +219,5 @@
     // Fingerprints from the receiver's heartbeats that the sender cannot match to a VM; asks for
     // the vmNews of these VMs.
     16: optional list<i64> unknownVms;
+    17: optional StreamOriginNote streamOrigin;
 }
--- a/tests/control/call_queue_order_test.cpp
+++ b/tests/control/call_queue_order_test.cpp
@@ -130,8 +130,9 @@
         , m_turns(m_clock, m_timers, m_store, m_health, 100'000, 1)
         , m_vms(m_clock, {}, 1)
         , m_relay(m_clock, m_timers, m_ledger, m_grants, m_vms, nullptr)
-        , m_scheduler(
-              {m_clock, m_timers, m_replicas, m_relay, m_turns, m_vms, m_health, ZoneId("z")})
+        , m_streams(m_timers, m_replicas, m_vms, nullptr)
+        , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_vms, m_health,
+                       ZoneId("z")})
     {
         auto table = std::make_shared<RouteTable>();
         table->version = ConfigurationVersion(1);
@@ -212,6 +213,7 @@
     TurnArchive m_turns;
     VmDirectory m_vms;
     LedgerRelay m_relay;
+    StreamOrigins m_streams;
     CallScheduler m_scheduler;
     std::map<std::string, CallHandle> m_handles;
     std::map<std::string, ReplicaId> m_replicaOf;
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -99,6 +99,7 @@
     VmDirectory m_vms;
     BudgetGrants m_grants;
     LedgerRelay m_relay;
+    StreamOrigins m_streams;
     CallScheduler m_scheduler;
     ForwardCounters m_counters;
     ReplicaConnectionPool m_replicaConnections;
