A replica that says in an answer that it leaves gets no new requests

What callers could see: requests at a replica that has told this VM that it leaves, later than the platform allows (DRAIN), as long as its registration says ready. Cause: the header Server-Leaving was not read; only the registration counted. Change: it is read on every answer, refusals and late answers included, and belongs to one incarnation (id, address, start) of the replica. It outlasts heartbeats, registrations that lapse and come back and full readings of the registry, and ends with a new start. One log line with the request's id, a counter.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -295,6 +295,9 @@
             co_return false;
         }
         head = progress.codec.readHead(response);
+        if (head.replicaLeaves && !head.wrongReplica) {
+            noteReplicaLeaving(progress);
+        }
         if (head.matchesCall) {
             co_return true;
         }
@@ -310,6 +313,15 @@
     co_return false;
 }
 
+void CallForwarder::noteReplicaLeaving(const Progress &progress)
+{
+    m_counters.leavingAnswers += 1;
+    asio::post(m_control,
+               [this, replica = progress.dispatch.replica, attempt = progress.call.attempt] {
+                   m_scheduler.noteReplicaLeaving(replica, attempt);
+               });
+}
+
 asio::awaitable<CallForwarder::AttemptResult>
 CallForwarder::forwardBufferedResponse(Progress &progress, ReplicaConnection &connection,
                                        const ReplicaResponseHead &head)
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -31,6 +31,8 @@
     /** The body has a content encoding, which was not requested. */
     bool hasContentEncoding = false;
     bool isEventStream = false;
+    /** The replica is about to stop and must get no new calls. */
+    bool replicaLeaves = false;
     std::optional<ReportedLoad> load;
     /** How long the replica keeps an idle connection open, if it says so. */
     std::optional<Duration> keepAliveTimeout;
@@ -88,6 +90,8 @@
     std::atomic<std::uint64_t> failed = 0;
     std::atomic<std::uint64_t> callerGone = 0;
     std::atomic<std::uint64_t> replicaConnections = 0;
+    /** Answers in which replicas said that they leave. */
+    std::atomic<std::uint64_t> leavingAnswers = 0;
     /** Durations of served calls and streams. */
     Metrics latencies;
 };
@@ -123,6 +127,8 @@
     boost::asio::awaitable<AttemptResult> runOnReplica(Progress &progress);
     boost::asio::awaitable<bool> readMatchingHead(Progress &progress, ReplicaConnection &connection,
                                                   ReplicaResponseHead &head);
+    /** Tells the scheduler that the replica of this attempt leaves. */
+    void noteReplicaLeaving(const Progress &progress);
     boost::asio::awaitable<AttemptResult> forwardBufferedResponse(Progress &progress,
                                                                   ReplicaConnection &connection,
                                                                   const ReplicaResponseHead &head);
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -442,6 +442,21 @@
     }
 }
 
+void CallScheduler::noteReplicaLeaving(const ReplicaEntry &replica, const AttemptId &attempt)
+{
+    if (!m_dependencies.replicas.markLeaving(incarnationOf(replica))) {
+        return;
+    }
+    LogLine("replica")
+        .add("replica", replica.id.value())
+        .add("service", replica.service.value())
+        .add("version", replica.softwareVersion.value())
+        .add("started_at", replica.startedAtMillis)
+        .add("request", attempt.value())
+        .add("outcome", "leaving")
+        .info();
+}
+
 void CallScheduler::endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation)
 {
     releaseReplica(m_calls[handle], observation);
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -165,6 +165,8 @@
                              std::function<void(const CallDecision &)> done);
     /** The caller gets the first event of a stream now; only the same version may go on with it. */
     void noteStreamStarted(CallHandle handle);
+    /** A replica has said in its answer to @p attempt that it leaves. */
+    void noteReplicaLeaving(const ReplicaEntry &replica, const AttemptId &attempt);
     /** Ends the attempt at the current replica; the call stays open. */
     void endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation);
     /**
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -38,6 +38,8 @@
 constexpr Milliseconds MaxStreamLifetime{15'000};
 /** After a longer time between two reads, replicas may have come and gone unseen. */
 constexpr Milliseconds MaxRegistryReadGap{2'000};
+/** Leaving replicas that are remembered; more than leave while one of them still serves. */
+constexpr std::size_t MaxLeavingReplicas = 1'000;
 
 Duration smoothed(Duration old, Duration sample)
 {
@@ -116,8 +118,14 @@
 
 } // namespace
 
+ReplicaIncarnation incarnationOf(const ReplicaEntry &entry)
+{
+    return {entry.id, entry.endpoint, entry.startedAtMillis};
+}
+
 ReplicaTable::ReplicaTable(const Clock &clock)
     : m_clock(clock)
+    , m_leaving(MaxLeavingReplicas)
     , m_registryReadAt(clock.now())
     , m_registryFollowedSince(clock.now())
 { }
@@ -163,9 +171,23 @@
         replica.ownRequests = ownRequests;
     }
     replica.entry = entry;
+    replica.leaving = m_leaving.find(incarnationOf(entry)) != nullptr;
     replica.removeAt.reset();
 }
 
+bool ReplicaTable::markLeaving(const ReplicaIncarnation &incarnation)
+{
+    if (m_leaving.find(incarnation) != nullptr) {
+        return false;
+    }
+    m_leaving.put(incarnation) = true;
+    const auto found = m_replicas.find(incarnation.id);
+    if (found != m_replicas.end() && incarnationOf(found->second.entry) == incarnation) {
+        found->second.leaving = true;
+    }
+    return true;
+}
+
 void ReplicaTable::remove(const ReplicaId &id, SteadyTime registryCompleteAt)
 {
     const auto found = m_replicas.find(id);
@@ -293,7 +315,7 @@
 {
     std::vector<const ReplicaState *> result;
     for (const auto &[id, replica] : m_replicas) {
-        if (replica.entry.service == service && !replica.entry.draining) {
+        if (replica.entry.service == service && !replica.entry.draining && !replica.leaving) {
             result.push_back(&replica);
         }
     }
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/lru_map.h"
 #include "core/settings.h"
 
 #include <cstdint>
@@ -31,6 +32,18 @@
     std::int64_t startedAtMillis = 0;
 };
 
+/** One start of a replica: ids and addresses alone are used again. */
+struct ReplicaIncarnation
+{
+    ReplicaId id;
+    Endpoint endpoint;
+    std::int64_t startedAtMillis = 0;
+
+    friend auto operator<=>(const ReplicaIncarnation &, const ReplicaIncarnation &) = default;
+};
+
+ReplicaIncarnation incarnationOf(const ReplicaEntry &entry);
+
 /** A replica's load as reported in one of its answers. */
 struct ReportedLoad
 {
@@ -66,6 +79,8 @@
 struct ReplicaState
 {
     ReplicaEntry entry;
+    /** It has said in an answer that it leaves, whatever its registration says. */
+    bool leaving = false;
     /** Requests of this VM that are in progress at the replica. */
     std::int64_t ownRequests = 0;
     /** The last reported load. */
@@ -135,6 +150,11 @@
     void put(const ReplicaEntry &entry);
     /** Removes a replica; before @p registryCompleteAt, only marks it for removal at that time. */
     void remove(const ReplicaId &id, SteadyTime registryCompleteAt);
+    /**
+     * This incarnation of a replica has said that it leaves and must get no new requests, even if
+     * its registration comes back as ready. False if that was known.
+     */
+    bool markLeaving(const ReplicaIncarnation &incarnation);
     /** Removes the replicas whose removal is due and returns their ids. */
     std::vector<ReplicaId> expireMissing();
 
@@ -145,7 +165,7 @@
 
     const ReplicaState *find(const ReplicaId &id) const;
     const std::map<ReplicaId, ReplicaState> &all() const { return m_replicas; }
-    /** Replicas of a service that are not draining. */
+    /** Replicas of a service that are neither draining nor leaving. */
     std::vector<const ReplicaState *> usable(const PoolName &service) const;
 
     /** The version of all replicas of a service that are known now; none if they differ. */
@@ -170,6 +190,8 @@
 
     const Clock &m_clock;
     std::map<ReplicaId, ReplicaState> m_replicas;
+    /** Those that have said that they leave; outlasts their registrations. */
+    LruMap<ReplicaIncarnation, bool> m_leaving;
     SteadyTime m_registryReadAt;
     /** Since then, no longer time has passed between two reads than MaxRegistryReadGap. */
     SteadyTime m_registryFollowedSince;
