Soak: software versions, replicas that leave, streams that callers take up

Cause: the soak's streams depended on the request alone, so that any two replicas fitted together, its callers never took up a stream, and no replica said that it leaves; it could not have met the incident ORDER. Change: events name the version that wrote them; callers take up broken streams, and break some off, at any VM; updates of the engine run through its replicas one to three at a time, at times back to the version before or under the ids that the replicas had; replicas drain, leave while registered as ready, or lapse and go on serving, and say so in all answers. Checked: no stream joins two versions (ORDER), no request reaches a replica later than 2 s after its VM had passed on that it leaves, unless the VM was disturbed since (DRAIN).

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_client.h"
 #include "net/sleep.h"
+#include "standin/platform_replica.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -35,6 +36,8 @@
 constexpr double ToolShare = 0.6;
 constexpr double SubAgentShare = 0.15;
 constexpr double DisconnectShare = 0.03;
+/** Fraction of resumable streams that their callers break off after some events. */
+constexpr double BreakOffShare = 0.1;
 
 Milliseconds retryAfterOf(const HttpResponse &response)
 {
@@ -183,10 +186,10 @@
         }
         const Endpoint frontEndpoint = m_frontEndpoints[m_random() % m_frontEndpoints.size()];
         const std::string id = nextId("call");
-        m_checker.recordSent(id, attempt);
+        m_checker.recordSent(id, attempt, frontEndpoint);
         const AttemptResult attemptResult =
             co_await callOnce(frontEndpoint, id, attempt, target, fields);
-        m_checker.recordResult(id, attemptResult);
+        const std::optional<ReceivedStream> received = m_checker.recordResult(id, attemptResult);
         if (attemptResult.status == StatusOk && attemptResult.complete) {
             co_return id;
         }
@@ -197,6 +200,10 @@
         if (!isRefusal(attemptResult.status) && attempt.kind == CallKind::AtMostOnce && !streams) {
             co_return "";
         }
+        if (attempt.kind == CallKind::ResumableStream) {
+            // A stream that is refused cannot go on, so it begins again.
+            attempt.received = isRefusal(attemptResult.status) ? std::nullopt : received;
+        }
         co_await sleepFor(RetryPause);
     }
     co_return "";
@@ -215,17 +222,27 @@
     request.fields.push_back({"Attempt-Id", id});
     request.fields.push_back({"Program-Id", attempt.program});
     request.fields.push_back({"Deadline-Ms", absl::StrCat(CallDeadline.count())});
+    if (attempt.received.has_value()) {
+        request.fields.push_back({"Resumes", attempt.received->firstAttempt});
+        request.fields.push_back({"Last-Event-Id", absl::StrCat(attempt.received->events)});
+    }
     AttemptResult attemptResult;
     const bool disconnects = randomFraction() < DisconnectShare;
+    const bool breaksOff =
+        attempt.kind == CallKind::ResumableStream && randomFraction() < BreakOffShare;
     HttpResponseSink sink;
     sink.onHeader = [&](const HttpResponse &header) -> asio::awaitable<bool> {
         attemptResult.status = header.status;
         attemptResult.hasSeal = !header.headerValue("Replica-Seal").empty();
+        if (!header.headerValue("Server-Leaving").empty()) {
+            m_checker.recordLeavingAnswer(
+                frontEndpoint, ReplicaAnswers::replicaOf(header.headerValue("Replica-Seal")));
+        }
         co_return !disconnects;
     };
     sink.onData = [&](const std::string &data) -> asio::awaitable<bool> {
         attemptResult.body += data;
-        co_return true;
+        co_return !breaksOff;
     };
     const HttpResult result = co_await httpStream(frontEndpoint, request, StreamIdleTimeout, sink);
     attemptResult.complete = result.complete;
@@ -237,17 +254,22 @@
 
 asio::awaitable<bool> Callers::probe(Endpoint frontEndpoint)
 {
-    const Attempt tool{CallKind::AtMostOnce, nextId("probe"), "tool input", "", 0, 0};
+    const Attempt tool{CallKind::AtMostOnce, nextId("probe"), "tool input", "", 0, 0, {}};
     const std::string toolId = nextId("call");
-    m_checker.recordSent(toolId, tool);
+    m_checker.recordSent(toolId, tool, frontEndpoint);
     const std::vector<HttpField> noFields;
     const AttemptResult toolResult =
         co_await callOnce(frontEndpoint, toolId, tool, "/tool/x", noFields);
     m_checker.recordResult(toolId, toolResult);
-    const Attempt turn{CallKind::StoredTurn, nextId("probe"), "first words", "",
-                       MaxTokensPerTurn * 4, MaxTokensPerTurn};
+    const Attempt turn{CallKind::StoredTurn,
+                       nextId("probe"),
+                       "first words",
+                       "",
+                       MaxTokensPerTurn * 4,
+                       MaxTokensPerTurn,
+                       {}};
     const std::string turnId = nextId("call");
-    m_checker.recordSent(turnId, turn);
+    m_checker.recordSent(turnId, turn, frontEndpoint);
     const std::vector<HttpField> fields{{"Session-Id", "probe"},
                                         {"Token-Budget", absl::StrCat(turn.budget)},
                                         {"Token-Usage", absl::StrCat("100,", MaxTokensPerTurn)}};
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -55,7 +55,7 @@
     const json::object entry{{"service", site.service},
                              {"addr", site.linkEndpoint.text()},
                              {"zone", "z"},
-                             {"version", 1},
+                             {"version", site.replica->version()},
                              {"slots", 8},
                              {"state", site.draining ? "draining" : "ready"},
                              {"coldLeftMs", 0},
@@ -92,13 +92,21 @@
         {{}, {{{"op", "", "config"}, json::serialize(configuration)}}, {}});
 }
 
-void startReplica(Deployment &deployment, ReplicaSite &site)
+std::string newReplicaId(Deployment &deployment)
 {
-    const std::string id = absl::StrCat("i-", deployment.nextReplica++);
+    return absl::StrCat("i-", deployment.nextReplica++);
+}
+
+void startReplica(Deployment &deployment, ReplicaSite &site, const ReplicaIdentity &identity)
+{
+    site.leaving = false;
     site.draining = false;
+    site.unregistered = false;
     site.startedAtMillis = unixMillis(std::chrono::system_clock::now());
-    site.replica = std::make_unique<PlatformReplica>(deployment.context, site.realEndpoint, id,
-                                                     deployment.onRequestRun, deployment.seed++);
+    site.replica =
+        std::make_unique<PlatformReplica>(deployment.context, site.realEndpoint, identity,
+                                          deployment.onRequestRun, deployment.seed++);
+    deployment.onReplicaStart(identity.id);
     writeRegistration(deployment, site);
 }
 
@@ -109,7 +117,7 @@
         for (const ReplicaSite &site : deployment.replicas) {
             const bool storeReachable =
                 deployment.store.faults().outage == RowServerFaults::Outage::None;
-            if (site.replica != nullptr && storeReachable) {
+            if (site.replica != nullptr && storeReachable && !site.unregistered) {
                 writeRegistration(deployment, site);
             }
         }
@@ -168,8 +176,10 @@
         [this] { return disruptStoreLink(); },
         [this] { return injectReplicaFault(); },
         [this] { return injectReplicaFault(); },
-        [this] { return replaceReplica(true); },
-        [this] { return replaceReplica(false); },
+        [this] { return replaceAnyReplica(randomDeparture()); },
+        [this] { return replaceAnyReplica(Departure::Crash); },
+        [this] { return rollOutVersion(); },
+        [this] { return rollOutVersion(); },
         [this] { return disruptReplicaLink(); },
         [this]() -> asio::awaitable<void> {
             logEvent("configuration changed");
@@ -311,33 +321,93 @@
     }
 }
 
-asio::awaitable<void> FaultInjector::replaceReplica(bool drainFirst)
+Departure FaultInjector::randomDeparture()
+{
+    constexpr Departure Kinds[] = {Departure::Drain, Departure::StaysReady, Departure::Unregister};
+    return Kinds[randomIndex(3)];
+}
+
+asio::awaitable<void> FaultInjector::replaceAnyReplica(Departure departure)
 {
     const std::size_t index = randomIndex(m_deployment.replicas.size());
-    if (m_deployment.replicas[index].replica == nullptr || m_deployment.replicas[index].draining) {
+    if (m_deployment.replicas[index].replica == nullptr) {
+        co_return;
+    }
+    const Replacement replacement{departure, m_deployment.replicas[index].replica->version(),
+                                  randomIndex(2) == 0};
+    co_await replaceReplica(index, replacement);
+}
+
+asio::awaitable<void> FaultInjector::announceDeparture(ReplicaSite &site, Departure departure)
+{
+    site.replica->announceLeaving();
+    if (departure == Departure::Drain) {
+        site.draining = true;
+        writeRegistration(m_deployment, site);
+    } else if (departure == Departure::Unregister) {
+        site.unregistered = true;
+        removeRegistration(m_deployment, site.replica->id());
+    }
+    co_await sleepFor(DrainTime);
+}
+
+asio::awaitable<void> FaultInjector::replaceReplica(std::size_t index, Replacement replacement)
+{
+    ReplicaSite &site = m_deployment.replicas[index];
+    if (site.replica == nullptr || site.leaving) {
         co_return;
     }
-    logEvent(absl::StrCat("replica site ", index, drainFirst ? ": drained" : ": crashed"));
-    const std::string id = m_deployment.replicas[index].replica->id();
-    if (drainFirst) {
-        m_deployment.replicas[index].draining = true;
-        writeRegistration(m_deployment, m_deployment.replicas[index]);
-        co_await sleepFor(DrainTime);
+    constexpr const char *DepartureNames[] = {"crashes", "drains", "leaves as ready",
+                                              "leaves unregistered"};
+    const std::string id = site.replica->id();
+    logEvent(absl::StrCat("replica site ", index, " (", id, ") ",
+                          DepartureNames[static_cast<int>(replacement.departure)], ", then ",
+                          replacement.version, replacement.keepsId ? " under its id" : ""));
+    site.leaving = true;
+    if (replacement.departure != Departure::Crash) {
+        co_await announceDeparture(site, replacement.departure);
     }
-    m_deployment.replicas[index].replica->stop();
+    site.replica->stop();
     // Lets the replica's coroutines end, which they do once its connections are closed.
     co_await sleepFor(PollInterval);
-    m_deployment.replicas[index].link->resetAll();
-    std::unique_ptr<PlatformReplica> stoppedReplica =
-        std::move(m_deployment.replicas[index].replica);
+    site.link->resetAll();
+    std::unique_ptr<PlatformReplica> stoppedReplica = std::move(site.replica);
     co_await sleepRandomly(Milliseconds(200), Milliseconds(2'500));
-    removeRegistration(m_deployment, id);
-    startReplica(m_deployment, m_deployment.replicas[index]);
+    const ReplicaIdentity identity{replacement.keepsId ? id : newReplicaId(m_deployment),
+                                   replacement.version};
+    if (!replacement.keepsId) {
+        removeRegistration(m_deployment, id);
+    }
+    startReplica(m_deployment, site, identity);
     // Requests that were still running on the stopped replica may access it until they time out, so
     // it is destroyed only after that.
     co_await sleepFor(DrainTime);
 }
 
+asio::awaitable<void> FaultInjector::rollOutVersion()
+{
+    // Sometimes an update is rolled back before it has reached all replicas.
+    const bool rollsBack = m_versions > 1 && randomIndex(3) == 0;
+    const std::string version = absl::StrCat("v", rollsBack ? m_versions - 1 : ++m_versions);
+    const std::size_t atOnce = 1 + randomIndex(3);
+    const bool keepsIds = randomIndex(4) == 0;
+    logEvent(absl::StrCat("update to ", version, ", ", atOnce, " at a time"));
+    std::size_t started = 0;
+    for (std::size_t index = 0; index < m_deployment.replicas.size(); ++index) {
+        if (m_deployment.replicas[index].service != "engine" || randomIndex(3) == 0) {
+            continue;
+        }
+        const Replacement replacement{randomDeparture(), version, keepsIds};
+        m_activeFaults += 1;
+        asio::co_spawn(m_deployment.context, replaceReplica(index, replacement),
+                       [this](const std::exception_ptr &) { m_activeFaults -= 1; });
+        started += 1;
+        if (started % atOnce == 0) {
+            co_await sleepRandomly(Milliseconds(300), Milliseconds(1'500));
+        }
+    }
+}
+
 asio::awaitable<void> FaultInjector::disruptReplicaLink()
 {
     const std::size_t index = randomIndex(m_deployment.replicas.size());
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -27,7 +27,32 @@
     std::unique_ptr<LinkProxy> link;
     std::string service;
     std::int64_t startedAtMillis = 0;
+    /** It is about to be replaced. */
+    bool leaving = false;
+    /** Its registration says that it drains. */
     bool draining = false;
+    /** Its registration is gone although it still serves. */
+    bool unregistered = false;
+};
+
+/** How a replica leaves; all but a crash say so in their answers and go on serving for a while. */
+enum class Departure {
+    Crash,
+    /** Its registration says that it drains. */
+    Drain,
+    /** Its registration says that it is ready until it stops. */
+    StaysReady,
+    /** Its registration is removed. */
+    Unregister,
+};
+
+/** What replaces a replica. */
+struct Replacement
+{
+    Departure departure = Departure::Crash;
+    std::string version;
+    /** It starts again under the id that it had. */
+    bool keepsId = false;
 };
 
 /** All components into which faults can be injected. */
@@ -40,6 +65,7 @@
     std::vector<std::unique_ptr<LinkProxy>> storeLinks;
     std::vector<ReplicaSite> replicas;
     PlatformReplica::OnRequestRun onRequestRun;
+    std::function<void(const std::string &replica)> onReplicaStart;
     std::int64_t configurationVersion = 0;
     std::uint64_t nextReplica = 1;
     std::uint64_t seed = 0;
@@ -47,8 +73,10 @@
 
 /** Writes the next version of the configuration to the store, as an operator does. */
 void writeConfiguration(Deployment &deployment);
-/** Starts a replica under a new id at the endpoint of @p site, and registers it. */
-void startReplica(Deployment &deployment, ReplicaSite &site);
+/** Returns an id that no replica had before. */
+std::string newReplicaId(Deployment &deployment);
+/** Starts a replica at the endpoint of @p site, and registers it. */
+void startReplica(Deployment &deployment, ReplicaSite &site, const ReplicaIdentity &identity);
 /** Renews the registrations of all running replicas periodically until @p stopped is set. */
 boost::asio::awaitable<void> renewRegistrations(Deployment &deployment, const bool &stopped);
 
@@ -75,7 +103,12 @@
     boost::asio::awaitable<void> loseStoreAnswers();
     boost::asio::awaitable<void> disruptStoreLink();
     boost::asio::awaitable<void> injectReplicaFault();
-    boost::asio::awaitable<void> replaceReplica(bool drainFirst);
+    boost::asio::awaitable<void> replaceReplica(std::size_t index, Replacement replacement);
+    boost::asio::awaitable<void> replaceAnyReplica(Departure departure);
+    /** Replaces many replicas of the engine by another version, one or several at a time. */
+    boost::asio::awaitable<void> rollOutVersion();
+    boost::asio::awaitable<void> announceDeparture(ReplicaSite &site, Departure departure);
+    Departure randomDeparture();
     boost::asio::awaitable<void> disruptReplicaLink();
     boost::asio::awaitable<void> sleepRandomly(Milliseconds shortest, Milliseconds longest);
     std::size_t randomIndex(std::size_t count) { return m_random() % count; }
@@ -85,6 +118,7 @@
     std::mt19937_64 m_random;
     std::chrono::steady_clock::time_point m_startedAt;
     int m_activeFaults = 0;
+    int m_versions = 1;
     std::vector<std::string> m_history;
 };
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -82,6 +82,7 @@
     if (isRunning(index)) {
         return;
     }
+    m_onDisruption(index);
     Vm &vm = m_vms[index];
     const std::string log = absl::StrCat(m_folder, "/", vm.config.name, ".log");
     posix_spawn_file_actions_t fileActions;
@@ -114,6 +115,9 @@
     }
     vm.terminationRequested =
         vm.terminationRequested || signalNumber == SIGKILL || signalNumber == SIGTERM;
+    if (signalNumber != SIGHUP) {
+        m_onDisruption(index);
+    }
     kill(vm.process, signalNumber);
 }
 
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -3,6 +3,7 @@
 #include "core/endpoint.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,11 @@
     std::size_t size() const { return m_vms.size(); }
     /** Starts the process of a VM unless it runs; throws std::runtime_error if it cannot. */
     void start(std::size_t vm);
+    /** Sets a task to run when a VM is started or gets a signal that ends or pauses it. */
+    void onDisruption(std::function<void(std::size_t vm)> task)
+    {
+        m_onDisruption = std::move(task);
+    }
     /** Sends a signal to the process of a VM, if it runs. */
     void signal(std::size_t vm, int signalNumber);
     /** True if the process runs; reaps it if it has exited. */
@@ -59,6 +65,7 @@
     std::string m_executable;
     std::string m_folder;
     std::vector<Vm> m_vms;
+    std::function<void(std::size_t vm)> m_onDisruption = [](std::size_t) {};
     int m_unexpectedExits = 0;
 };
 
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -25,6 +25,23 @@
  */
 constexpr Milliseconds SettlementTime{1'000};
 
+/** A VM may send requests to a leaving replica for this long after it has passed on the news. */
+constexpr Milliseconds DrainBound{2'000};
+/** What a VM knew this long before it was disrupted may be lost with it. */
+constexpr Milliseconds DisruptionMargin{1'000};
+
+/** The request with which the stream of an attempt began. */
+const std::string &firstAttemptOf(const std::string &id, const Attempt &attempt)
+{
+    return attempt.received.has_value() ? attempt.received->firstAttempt : id;
+}
+
+/** Events of an attempt's stream that the caller had before it. */
+int eventsBefore(const Attempt &attempt)
+{
+    return attempt.received.has_value() ? attempt.received->events : 0;
+}
+
 bool meansNotRun(unsigned status)
 {
     return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), status) != NotRunStatuses.end();
@@ -53,9 +70,13 @@
     return found == m_conversations.end() ? std::string() : found->second;
 }
 
-void InvariantChecker::recordSent(const std::string &id, const Attempt &attempt)
+void InvariantChecker::recordSent(const std::string &id, const Attempt &attempt,
+                                  const Endpoint &front)
 {
-    m_records[id].attempt = attempt;
+    Record &record = m_records[id];
+    record.attempt = attempt;
+    record.front = front;
+    record.sentAt = m_clock.now();
     m_programs[attempt.program].push_back(id);
 }
 
@@ -78,6 +99,41 @@
                      absl::StrCat("ran after its caller received status ", record.status));
     }
     checkRequestBody(id, record, request);
+    checkDraining(id, record, replica);
+}
+
+void InvariantChecker::recordLeavingAnswer(const Endpoint &front, const std::string &replica)
+{
+    m_counts["answers of leaving replicas"] += 1;
+    m_leavingNotices.try_emplace({front, replica}, m_clock.now());
+}
+
+void InvariantChecker::recordVmDisruption(const Endpoint &front)
+{
+    m_disruptedAt[front] = m_clock.now();
+}
+
+void InvariantChecker::recordReplicaStart(const std::string &replica)
+{
+    std::erase_if(m_leavingNotices,
+                  [&](const auto &item) { return item.first.replica == replica; });
+}
+
+void InvariantChecker::checkDraining(const std::string &id, const Record &record,
+                                     const std::string &replica)
+{
+    const auto notice = m_leavingNotices.find({record.front, replica});
+    if (notice == m_leavingNotices.end() || record.sentAt < notice->second + DrainBound) {
+        return;
+    }
+    const auto disruption = m_disruptedAt.find(record.front);
+    if (disruption != m_disruptedAt.end()
+        && disruption->second + DisruptionMargin > notice->second) {
+        return;
+    }
+    addViolation("DRAIN", id,
+                 absl::StrCat("sent to ", record.front.text(), ", reached replica ", replica,
+                              " long after that VM had passed on that it leaves"));
 }
 
 void InvariantChecker::checkRequestBody(const std::string &id, const Record &record,
@@ -93,7 +149,8 @@
     }
 }
 
-void InvariantChecker::recordResult(const std::string &id, const AttemptResult &result)
+std::optional<ReceivedStream> InvariantChecker::recordResult(const std::string &id,
+                                                             const AttemptResult &result)
 {
     Record &record = m_records[id];
     record.ended = true;
@@ -112,16 +169,31 @@
                      absl::StrCat("was answered with status 404; it continues from turn ",
                                   record.attempt.previousTurn));
     }
+    countTakenUp(record, result);
     if (result.status != StatusOk) {
-        return;
+        return record.attempt.received;
     }
     const CallKind kind = record.attempt.kind;
     if (kind == CallKind::ResumableStream || kind == CallKind::StoredTurn) {
-        checkStream(id, record, result);
+        std::optional<ReceivedStream> received = checkStream(id, record, result);
         checkBudget(id, record);
-    } else if (result.complete) {
+        return received;
+    }
+    if (result.complete) {
         checkSingleAnswer(id, result);
     }
+    return std::nullopt;
+}
+
+void InvariantChecker::countTakenUp(const Record &record, const AttemptResult &result)
+{
+    if (!record.attempt.received.has_value()) {
+        return;
+    }
+    const char *outcome = result.status == StatusOk ? "went on"
+        : meansNotRun(result.status)                ? "refused"
+                                                    : "failed";
+    m_counts[absl::StrCat("streams taken up: ", outcome)] += 1;
 }
 
 void InvariantChecker::checkSingleAnswer(const std::string &id, const AttemptResult &result)
@@ -131,38 +203,51 @@
     }
 }
 
-void InvariantChecker::checkStream(const std::string &id, Record &record,
-                                   const AttemptResult &result)
+std::optional<ReceivedStream> InvariantChecker::checkStream(const std::string &id, Record &record,
+                                                            const AttemptResult &result)
 {
     const std::vector<std::string> events = absl::StrSplit(result.body, "\n\n");
-    int number = 0;
+    ReceivedStream received =
+        record.attempt.received.value_or(ReceivedStream{id, std::string(), 0});
     std::string answerText;
     // The text after the last blank line is not a complete event.
     for (std::size_t index = 0; index + 1 < events.size(); ++index) {
-        number += 1;
-        const std::string data = ReplicaAnswers::eventData(id, number);
-        if (events[index] != absl::StrCat("id: ", number, "\ndata: ", data)) {
-            addViolation(
-                "ORDER", id,
-                absl::StrCat("unexpected text in event ", number, ": \"", events[index], "\""));
-            return;
+        if (received.version.empty()) {
+            received.version = ReplicaAnswers::versionOf(events[index]);
+        }
+        received.events += 1;
+        const std::string data =
+            ReplicaAnswers::eventData(received.firstAttempt, received.version, received.events);
+        if (events[index] != absl::StrCat("id: ", received.events, "\ndata: ", data)) {
+            addViolation("ORDER", id,
+                         absl::StrCat("unexpected text in event ", received.events, ": \"",
+                                      events[index], "\", not \"", data, "\""));
+            return std::nullopt;
         }
         absl::StrAppend(&answerText, data, "\n");
     }
-    record.tokens = number * TokensPerEvent;
-    if (!result.complete) {
-        return;
+    record.tokens = (received.events - eventsBefore(record.attempt)) * TokensPerEvent;
+    if (result.complete) {
+        checkStreamEnd(id, result, received);
+        if (record.attempt.kind == CallKind::StoredTurn) {
+            m_conversations[id] =
+                conversation(record.attempt.previousTurn) + record.attempt.input + answerText;
+        }
     }
-    if (!result.hasSeal || number != ReplicaAnswers::eventCount(id) || !events.back().empty()) {
+    return received.events == 0 ? std::nullopt : std::optional(received);
+}
+
+void InvariantChecker::checkStreamEnd(const std::string &id, const AttemptResult &result,
+                                      const ReceivedStream &received)
+{
+    const bool endsAfterAnEvent = result.body.empty() || result.body.ends_with("\n\n");
+    if (!result.hasSeal || received.events != ReplicaAnswers::eventCount(received.firstAttempt)
+        || !endsAfterAnEvent) {
         addViolation("ORDER", id,
-                     absl::StrCat("stream ended as complete after ", number, " events"));
+                     absl::StrCat("stream ended as complete after ", received.events, " events"));
         return;
     }
     m_counts["streams whole"] += 1;
-    if (record.attempt.kind == CallKind::StoredTurn) {
-        m_conversations[id] =
-            conversation(record.attempt.previousTurn) + record.attempt.input + answerText;
-    }
 }
 
 void InvariantChecker::checkBudget(const std::string &id, const Record &record)
@@ -189,7 +274,10 @@
         }
         const bool settled = turn.ended && m_clock.now() >= turn.endedAt + SettlementTime
             && turn.status == StatusOk
-            && turn.tokens == ReplicaAnswers::eventCount(other) * TokensPerEvent;
+            && turn.tokens
+                == (ReplicaAnswers::eventCount(firstAttemptOf(other, turn.attempt))
+                    - eventsBefore(turn.attempt))
+                    * TokensPerEvent;
         if (settled) {
             refusal.settled += turn.tokens;
         } else {
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/endpoint.h"
 #include "net/http_types.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,16 @@
     StoredTurn, ///< Runs at most once; its conversation is stored.
 };
 
+/** What a caller has received of a stream. */
+struct ReceivedStream
+{
+    /** The attempt that brought the first event. */
+    std::string firstAttempt;
+    /** The software version that wrote the events. */
+    std::string version;
+    int events = 0;
+};
+
 /** One request as a caller sends it; each retry is a separate attempt. */
 struct Attempt
 {
@@ -28,6 +40,8 @@
     std::int64_t budget = 0;
     /** Upper bound of the tokens in the answer; 0 for tool calls. */
     std::int64_t maxTokens = 0;
+    /** Set if the attempt goes on with a stream that broke off. */
+    std::optional<ReceivedStream> received;
 };
 
 /** Result of an attempt as its caller saw it. */
@@ -53,12 +67,22 @@
 public:
     explicit InvariantChecker(const Clock &clock);
 
-    /** Records a request that a caller is about to send. */
-    void recordSent(const std::string &id, const Attempt &attempt);
+    /** Records a request that a caller is about to send to the VM at @p front. */
+    void recordSent(const std::string &id, const Attempt &attempt, const Endpoint &front);
     /** Records that a replica began to run a request, and checks that this was allowed. */
     void recordRun(const HttpRequest &request, const std::string &replica);
-    /** Records what a caller received for a request, and checks it. */
-    void recordResult(const std::string &id, const AttemptResult &result);
+    /**
+     * Records what a caller received for a request, and checks it.
+     *
+     * @return the events of the stream that the caller has now, if it is one.
+     */
+    std::optional<ReceivedStream> recordResult(const std::string &id, const AttemptResult &result);
+    /** A VM passed on an answer in which a replica says that it leaves. */
+    void recordLeavingAnswer(const Endpoint &front, const std::string &replica);
+    /** A VM got a signal or was started; it may have forgotten what it knew. */
+    void recordVmDisruption(const Endpoint &front);
+    /** A replica started, perhaps under an id that was used before. */
+    void recordReplicaStart(const std::string &replica);
     /** Runs the checks that are possible only after all requests have ended. */
     void finish();
 
@@ -76,6 +100,17 @@
         unsigned status = 0;
         std::int64_t tokens = 0;
         SteadyTime endedAt;
+        Endpoint front;
+        SteadyTime sentAt;
+    };
+
+    /** An answer of a replica that leaves, which a VM passed on. */
+    struct LeavingNotice
+    {
+        Endpoint front;
+        std::string replica;
+
+        friend auto operator<=>(const LeavingNotice &, const LeavingNotice &) = default;
     };
 
     /** A request refused for its budget, and what counted against the budget at that time. */
@@ -91,7 +126,12 @@
     void checkBudget(const std::string &id, const Record &record);
     void recordBudgetRefusal(const std::string &id, const Record &record);
     void checkRequestBody(const std::string &id, const Record &record, const HttpRequest &request);
-    void checkStream(const std::string &id, Record &record, const AttemptResult &result);
+    void checkDraining(const std::string &id, const Record &record, const std::string &replica);
+    void countTakenUp(const Record &record, const AttemptResult &result);
+    std::optional<ReceivedStream> checkStream(const std::string &id, Record &record,
+                                              const AttemptResult &result);
+    void checkStreamEnd(const std::string &id, const AttemptResult &result,
+                        const ReceivedStream &received);
     void checkSingleAnswer(const std::string &id, const AttemptResult &result);
 
     const Clock &m_clock;
@@ -99,6 +139,8 @@
     std::map<std::string, std::vector<std::string>> m_programs;
     std::map<std::string, std::string> m_conversations;
     std::vector<BudgetRefusal> m_budgetRefusals;
+    std::map<LeavingNotice, SteadyTime> m_leavingNotices;
+    std::map<Endpoint, SteadyTime> m_disruptedAt;
     std::map<std::string, int> m_counts;
     std::vector<std::string> m_violations;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -199,9 +199,12 @@
                           [&](const HttpRequest &request, const std::string &replica) {
                               checker.recordRun(request, replica);
                           },
+                          [&](const std::string &replica) { checker.recordReplicaStart(replica); },
                           0,
                           1,
                           options.seed};
+    fleet.onDisruption(
+        [&](std::size_t vm) { checker.recordVmDisruption(fleet.frontEndpoint(vm)); });
     std::vector<Endpoint> directoryEndpoints;
     for (std::size_t vm = 0; vm < options.vms; ++vm) {
         const Endpoint link{loopbackAddress(options, 1),
@@ -214,7 +217,7 @@
     for (std::size_t index = 0; index < options.replicas + services; ++index) {
         const char *service = index < options.replicas ? "engine" : "app";
         deployment.replicas.push_back(makeReplicaSite(deployment, options, index, service));
-        startReplica(deployment, deployment.replicas.back());
+        startReplica(deployment, deployment.replicas.back(), {newReplicaId(deployment), "v1"});
     }
     writeConfiguration(deployment);
     Outcome outcome;
--- a/standin/platform_replica.cpp
+++ b/standin/platform_replica.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -36,23 +37,21 @@
     co_return !error;
 }
 
-std::string responseHead(const std::string &status, const std::string &attempt, bool hasSeal,
-                         int running)
+std::string chunk(const std::string &data)
 {
-    return absl::StrCat("HTTP/1.1 ", status, "\r\nAttempt-Id: ", attempt, "\r\n",
-                        hasSeal ? "Replica-Seal: seal\r\n" : "", "Replica-Load: ", running, ",0,",
-                        Slots, "\r\n");
+    return absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
 }
 
-std::string completeResponse(const std::string &attempt, const std::string &body, int running)
-{
-    return absl::StrCat(responseHead("200 OK", attempt, true, running),
-                        "Content-Length: ", body.size(), "\r\n\r\n", body);
-}
+/** Between the id of a stream and the version that writes it, in the data of events. */
+constexpr const char *VersionMark = " at ";
+constexpr const char *NumberMark = " says ";
+constexpr const char *SealPrefix = "seal of ";
 
-std::string chunk(const std::string &data)
+/** The request with which a stream began: this one, unless it goes on with another's. */
+std::string firstAttemptOf(const HttpRequest &request)
 {
-    return absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
+    const std::string resumed = request.headerValue("Resumes");
+    return resumed.empty() ? request.headerValue("Attempt-Id") : resumed;
 }
 
 bool isStream(const HttpRequest &request)
@@ -62,14 +61,36 @@
 
 } // namespace
 
-int ReplicaAnswers::eventCount(const std::string &attempt)
+int ReplicaAnswers::eventCount(const std::string &firstAttempt)
 {
-    return MinEventCount + static_cast<int>(hashOf(attempt) % EventCountRange);
+    return MinEventCount + static_cast<int>(hashOf(firstAttempt) % EventCountRange);
+}
+
+std::string ReplicaAnswers::eventData(const std::string &firstAttempt, const std::string &version,
+                                      int number)
+{
+    return absl::StrCat(firstAttempt, VersionMark, version, NumberMark, number);
+}
+
+std::string ReplicaAnswers::versionOf(const std::string &eventData)
+{
+    const std::size_t mark = eventData.find(VersionMark);
+    const std::size_t end = eventData.find(NumberMark);
+    if (mark == std::string::npos || end == std::string::npos || end < mark) {
+        return "";
+    }
+    const std::size_t start = mark + std::string(VersionMark).size();
+    return eventData.substr(start, end - start);
 }
 
-std::string ReplicaAnswers::eventData(const std::string &attempt, int number)
+std::string ReplicaAnswers::seal(const std::string &replica)
 {
-    return absl::StrCat(attempt, " says ", number);
+    return absl::StrCat(SealPrefix, replica);
+}
+
+std::string ReplicaAnswers::replicaOf(const std::string &seal)
+{
+    return std::string(absl::StripPrefix(seal, SealPrefix));
 }
 
 std::string ReplicaAnswers::fullBody(const std::string &attempt)
@@ -78,16 +99,40 @@
 }
 
 PlatformReplica::PlatformReplica(asio::io_context &context, const Endpoint &endpoint,
-                                 std::string id, OnRequestRun onRequestRun, std::uint64_t seed)
+                                 ReplicaIdentity identity, OnRequestRun onRequestRun,
+                                 std::uint64_t seed)
     : m_context(context)
     , m_acceptor(context, {asio::ip::make_address(endpoint.address), endpoint.port})
-    , m_id(std::move(id))
+    , m_identity(std::move(identity))
     , m_onRequestRun(std::move(onRequestRun))
     , m_random(seed)
 {
     asio::co_spawn(m_context, accept(), asio::detached);
 }
 
+std::string PlatformReplica::responseHead(const std::string &status, const std::string &attempt,
+                                          bool hasSeal) const
+{
+    const std::string seal =
+        hasSeal ? absl::StrCat("Replica-Seal: ", ReplicaAnswers::seal(id()), "\r\n") : "";
+    return absl::StrCat("HTTP/1.1 ", status, "\r\nAttempt-Id: ", attempt, "\r\n", seal,
+                        m_leaving ? "Server-Leaving: 1\r\n" : "", "Replica-Load: ", m_running,
+                        ",0,", Slots, "\r\n");
+}
+
+std::string PlatformReplica::refusal(const std::string &status, const std::string &attempt) const
+{
+    return absl::StrCat(responseHead(status, attempt, false),
+                        "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+std::string PlatformReplica::completeResponse(const std::string &attempt,
+                                              const std::string &body) const
+{
+    return absl::StrCat(responseHead("200 OK", attempt, true), "Content-Length: ", body.size(),
+                        "\r\n\r\n", body);
+}
+
 void PlatformReplica::stop()
 {
     boost::system::error_code ignored;
@@ -146,27 +191,23 @@
 {
     const std::string attempt = request.headerValue("Attempt-Id");
     const std::string expected = request.headerValue("Expect-Replica");
-    if (!expected.empty() && expected != m_id) {
-        const std::string refusal =
-            absl::StrCat(responseHead("421 Misdirected", attempt, false, m_running),
-                         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-        co_return co_await write(socket, refusal);
+    if (!expected.empty() && expected != id()) {
+        const std::string misdirected = refusal("421 Misdirected", attempt);
+        co_return co_await write(socket, misdirected);
     }
     if (m_running > Slots || withProbability(m_faults.refusesBeforeRun)) {
-        const std::string refusal =
-            absl::StrCat(responseHead("503 Busy", attempt, false, m_running),
-                         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-        co_return co_await write(socket, refusal);
+        const std::string busy = refusal("503 Busy", attempt);
+        co_return co_await write(socket, busy);
     }
-    m_onRequestRun(request, m_id);
+    m_onRequestRun(request, id());
     co_await sleepFor(ProcessingTime + m_faults.delay);
     if (withProbability(m_faults.losesAnswers)) {
         co_return false;
     }
     if (withProbability(m_faults.refusesAfterRun)) {
-        const std::string refusal = absl::StrCat(
-            responseHead("503 Busy", attempt, false, m_running), "Content-Length: 0\r\n\r\n");
-        co_return co_await write(socket, refusal);
+        const std::string unclearRefusal =
+            absl::StrCat(responseHead("503 Busy", attempt, false), "Content-Length: 0\r\n\r\n");
+        co_return co_await write(socket, unclearRefusal);
     }
     if (isStream(request)) {
         co_return co_await sendStream(socket, request);
@@ -177,15 +218,14 @@
 asio::awaitable<bool> PlatformReplica::sendAnswer(Socket socket, const HttpRequest &request)
 {
     const std::string attempt = request.headerValue("Attempt-Id");
-    const std::string response =
-        completeResponse(attempt, ReplicaAnswers::fullBody(attempt), m_running);
+    const std::string response = completeResponse(attempt, ReplicaAnswers::fullBody(attempt));
     if (withProbability(m_faults.truncatesAnswers)) {
         const std::string truncated = response.substr(0, response.size() - 3);
         co_await write(socket, truncated);
         co_return false;
     }
     if (withProbability(m_faults.sendsExtraAnswers)) {
-        const std::string other = completeResponse("another", "of no request", m_running);
+        const std::string other = completeResponse("another", "of no request");
         const std::string both = withProbability(0.5) ? other + response : response + other;
         co_return co_await write(socket, both);
     }
@@ -195,20 +235,22 @@
 asio::awaitable<bool> PlatformReplica::sendStream(Socket socket, const HttpRequest &request)
 {
     const std::string attempt = request.headerValue("Attempt-Id");
+    const std::string firstAttempt = firstAttemptOf(request);
     int lastEventId = 0;
     const std::string last = request.headerValue("Last-Event-Id");
     if (!last.empty() && !absl::SimpleAtoi(last, &lastEventId)) {
         co_return false;
     }
-    const std::string head = absl::StrCat(responseHead("200 OK", attempt, true, m_running),
+    const std::string head = absl::StrCat(responseHead("200 OK", attempt, true),
                                           "Content-Type: text/event-stream\r\n"
                                           "Transfer-Encoding: chunked\r\n\r\n");
     bool open = co_await write(socket, head);
-    const int count = ReplicaAnswers::eventCount(attempt);
+    const int count = ReplicaAnswers::eventCount(firstAttempt);
     for (int number = lastEventId + 1; open && number <= count; ++number) {
         co_await sleepFor(ProcessingTime + m_faults.delay);
-        const std::string event = chunk(absl::StrCat(
-            "id: ", number, "\ndata: ", ReplicaAnswers::eventData(attempt, number), "\n\n"));
+        const std::string event =
+            chunk(absl::StrCat("id: ", number, "\ndata: ",
+                               ReplicaAnswers::eventData(firstAttempt, version(), number), "\n\n"));
         if (withProbability(m_faults.truncatesAnswers / count)) {
             const std::string truncated = event.substr(0, event.size() / 2);
             co_await write(socket, truncated);
--- a/standin/platform_replica.h
+++ b/standin/platform_replica.h
@@ -32,13 +32,28 @@
     Milliseconds delay{0};
 };
 
+/** What a replica registers under. */
+struct ReplicaIdentity
+{
+    std::string id;
+    /** Version of its software; streams of two versions do not fit together. */
+    std::string version;
+};
+
 /** The answers of replicas, computed from the request's id so that any side can check them. */
 struct ReplicaAnswers
 {
-    /** Number of events of a stream. */
-    static int eventCount(const std::string &attempt);
-    /** Data of one event of a stream; events are numbered from 1. */
-    static std::string eventData(const std::string &attempt, int number);
+    /** Number of events of a stream that began with the request @p firstAttempt. */
+    static int eventCount(const std::string &firstAttempt);
+    /** Data of one event of a stream as a replica of @p version writes it; numbered from 1. */
+    static std::string eventData(const std::string &firstAttempt, const std::string &version,
+                                 int number);
+    /** The version that wrote an event's data; empty if the data is not a replica's. */
+    static std::string versionOf(const std::string &eventData);
+    /** The field Replica-Seal of a replica, which names it. */
+    static std::string seal(const std::string &replica);
+    /** The replica that a seal names. */
+    static std::string replicaOf(const std::string &seal);
     /** Body of an answer that is not a stream. */
     static std::string fullBody(const std::string &attempt);
 };
@@ -57,11 +72,14 @@
     using OnRequestRun =
         std::function<void(const HttpRequest &request, const std::string &replica)>;
 
-    PlatformReplica(boost::asio::io_context &context, const Endpoint &endpoint, std::string id,
-                    OnRequestRun onRequestRun, std::uint64_t seed);
+    PlatformReplica(boost::asio::io_context &context, const Endpoint &endpoint,
+                    ReplicaIdentity identity, OnRequestRun onRequestRun, std::uint64_t seed);
 
     ReplicaFaults &faults() { return m_faults; }
-    const std::string &id() const { return m_id; }
+    const std::string &id() const { return m_identity.id; }
+    const std::string &version() const { return m_identity.version; }
+    /** From now on, all answers say that the replica leaves. */
+    void announceLeaving() { m_leaving = true; }
     /** Closes all connections and accepts no new ones. */
     void stop();
 
@@ -74,15 +92,21 @@
     boost::asio::awaitable<bool> sendAnswer(Socket socket, const HttpRequest &request);
     boost::asio::awaitable<bool> sendStream(Socket socket, const HttpRequest &request);
     bool withProbability(double probability);
+    std::string responseHead(const std::string &status, const std::string &attempt,
+                             bool hasSeal) const;
+    /** Refusal that states that the request was not executed. */
+    std::string refusal(const std::string &status, const std::string &attempt) const;
+    std::string completeResponse(const std::string &attempt, const std::string &body) const;
 
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::string m_id;
+    ReplicaIdentity m_identity;
     OnRequestRun m_onRequestRun;
     ReplicaFaults m_faults;
     std::mt19937_64 m_random;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> m_sockets;
     int m_running = 0;
+    bool m_leaving = false;
 };
 
 } // namespace boragepath
