A taken-up stream that breaks off again goes on after its newest event

What callers saw: a stream that its caller had taken up and that broke off once more ended as broken, though another replica could have gone on. Cause: the caller's Last-Event-Id was forwarded as it came and the VM's own position was added behind it; a replica that reads the first of the two writes events that the caller has already, which are dropped here, and the caller's answer ends without the rest. Evidence: TakenUpStreamThatBreaksOffAgainGoesOnAfterItsNewestEvent failed before (two positions in one request: 2 and 3; the answer broke off after event 3).

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -134,6 +134,9 @@
         co_return;
     }
     Progress progress{call, codec, *channel, std::get<CallDispatch>(decision), startedAt};
+    if (call.resumption.has_value()) {
+        progress.lastEventId = call.resumption->lastEventId;
+    }
     for (;;) {
         const AttemptResult attemptResult = co_await runOnReplica(progress);
         progress.observation.eventsForwarded = progress.events;
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -110,6 +110,32 @@
     }
 }
 
+/** Two positions in one request would let the replica choose where it goes on. */
+TEST_F(SoftwareVersionTest, TakenUpStreamThatBreaksOffAgainGoesOnAfterItsNewestEvent)
+{
+    const ReplicaBehaviour oneEventAtATime = [](const std::string &head, const std::string &) {
+        const std::string after = fieldOf(head, "Last-Event-Id");
+        const int next = after.empty() ? 1 : std::stoi(after) + 1;
+        if (next == 4) {
+            return ReplicaScript{absl::StrCat(streamHead(head), chunk(event(next)), "0\r\n\r\n")};
+        }
+        return ReplicaScript{absl::StrCat(streamHead(head), chunk(event(next))), true};
+    };
+    ScriptedReplica &first = addReplica(oneEventAtATime);
+    ScriptedReplica &second = addReplica(oneEventAtATime);
+    const std::string answer =
+        exchange(callRequest("/read/x", "b", "body", "Last-Event-Id: 2\r\n"), "0\r\n\r\n");
+    EXPECT_THAT(answer, testing::HasSubstr(chunk(event(3)) + chunk(event(4))));
+    ASSERT_EQ(first.heads.size(), 1U);
+    ASSERT_EQ(second.heads.size(), 1U);
+    std::multiset<std::string> positions;
+    for (const std::string &head : {first.heads.at(0), second.heads.at(0)}) {
+        positions.insert(fieldOf(head, "Last-Event-Id"));
+        EXPECT_EQ(head.find("Last-Event-Id"), head.rfind("Last-Event-Id")) << head;
+    }
+    EXPECT_EQ(positions, (std::multiset<std::string>{"2", "3"}));
+}
+
 TEST_F(SoftwareVersionTest, StreamOfUnknownVersionIsRefusedWhileVersionsServeSideBySide)
 {
     ScriptedReplica &first = addReplica(breakOffThenComplete, "v1.2");
