A reservation of a turn that may not have run does not spend a program's budget

Cause: where the coordinator of a budget is silent, a VM reserves in the program's row itself. If it then cannot reach the store, the reservation of a turn that it has refused stays there until it can write again; others counted it as used and refused for the budget. Change: such reservations count like grants: they keep tokens from being handed out twice, but the answer is 503, as the design says, and 402 only for what is certainly used.

--- a/control/ledger_relay.cpp
+++ b/control/ledger_relay.cpp
@@ -26,12 +26,6 @@
     return note;
 }
 
-/** Id of a reservation that this VM makes itself after it has asked a coordinator for the turn. */
-AttemptId ownReservationId(const AttemptId &turn)
-{
-    return AttemptId(turn.value() + "/own");
-}
-
 peers::LedgerOutcome::type outcomeOf(ReservationResult result)
 {
     switch (result) {
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -233,8 +233,8 @@
     if (!program.fresh) {
         return ChangeAction::NeedsRead;
     }
-    return tokensExcludingGrants(changed) + needed > request.budget ? ChangeAction::Refuse
-                                                                    : ChangeAction::Blocked;
+    return tokensCertainlyUsed(changed) + needed > request.budget ? ChangeAction::Refuse
+                                                                  : ChangeAction::Blocked;
 }
 
 void ProgramLedger::send(const ProgramId &id, Program &program)
--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -18,6 +18,7 @@
 
 /** The space keeps grant ids apart from turn ids: an id that can be a row key has no spaces. */
 constexpr const char *GrantPrefix = "grant ";
+constexpr const char *OwnReservationSuffix = "/own";
 
 } // namespace
 
@@ -56,17 +57,22 @@
     return total;
 }
 
-std::int64_t tokensExcludingGrants(const ProgramRecord &record)
+std::int64_t tokensCertainlyUsed(const ProgramRecord &record)
 {
     std::int64_t total = record.spent;
     for (const auto &[turn, maxTokens] : record.reserved) {
-        if (!absl::StartsWith(turn.value(), GrantPrefix)) {
-            total += maxTokens;
-        }
+        const bool mayBeReleased = absl::StartsWith(turn.value(), GrantPrefix)
+            || absl::EndsWith(turn.value(), OwnReservationSuffix);
+        total += mayBeReleased ? 0 : maxTokens;
     }
     return total;
 }
 
+AttemptId ownReservationId(const AttemptId &turn)
+{
+    return AttemptId(turn.value() + OwnReservationSuffix);
+}
+
 AttemptId grantId(const std::string &holder)
 {
     return AttemptId(GrantPrefix + holder);
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -36,11 +36,17 @@
 bool isSettled(const ProgramRecord &record, const AttemptId &turn);
 /** Sum of spent and reserved tokens. */
 std::int64_t committedTokens(const ProgramRecord &record);
-/** The same without grants, which release the tokens that they do not use. */
-std::int64_t tokensExcludingGrants(const ProgramRecord &record);
+/**
+ * The same without what may still be released: grants, and reservations that VMs made for turns
+ * of their own, which may never have run.
+ */
+std::int64_t tokensCertainlyUsed(const ProgramRecord &record);
 
 /** The id of a VM's grant in a record; no turn can have the same id. */
 AttemptId grantId(const std::string &holder);
+/** The id of a reservation that a VM makes for a turn in the record, after it has asked the
+ * coordinator for one in vain. */
+AttemptId ownReservationId(const AttemptId &turn);
 
 std::string encodeProgramRecord(const ProgramRecord &record);
 /** Empty if @p text is not a valid record. */
--- a/tests/control/ledger_relay_test.cpp
+++ b/tests/control/ledger_relay_test.cpp
@@ -232,6 +232,20 @@
     }
 }
 
+/** A VM may release the reservation of a turn that never ran seconds later, once it can write. */
+TEST(LedgerRelay, ReservationOfATurnThatMayNotHaveRunDoesNotSpendTheBudget)
+{
+    RelayFleet fleet(2);
+    ProgramRecord record;
+    record.spent = 240;
+    record.reserved[ownReservationId(AttemptId("refused"))] = 180;
+    fleet.store.put(programRow(ProgramId("program")), encodeProgramRecord(record));
+    ReservationResult result = ReservationResult::Granted;
+    fleet.reserve(0, "turn", 540, 180, [&](ReservationResult answer) { result = answer; });
+    fleet.timers.run(Seconds(3));
+    EXPECT_EQ(result, ReservationResult::StoreUnavailable);
+}
+
 TEST(LedgerRelay, ReservesInTheStoreIfTheCoordinatorIsUnreachable)
 {
     RelayFleet fleet(4);
