VMs share a setting as the secret of their datagrams; the soak uses it

Cause: datagrams between VMs are authenticated with the address of the store. In the soak each VM reaches the store at a link of its own, so the VMs dropped each other's datagrams, and the soak never tested gossip, relayed budgets or the origins of streams. Change: optional key peers.secret in the settings file, by default the store's address.

--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -124,7 +124,7 @@
           m_clock, m_timers, m_store, m_replicas,
           [this](std::shared_ptr<const RouteTable> table) { setRouteTable(std::move(table)); },
           seed)
-    , m_peers(m_control, m_settings.peers, m_settings.store.text(),
+    , m_peers(m_control, m_settings.peers, m_settings.peerSecret,
               [this](const peers::Envelope &envelope) { receive(envelope); })
     , m_replicaConnections(m_traffic.get_executor(), m_clock)
     , m_forwarder(m_control, m_scheduler, m_replicaConnections, m_clock, m_counters)
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -64,7 +64,7 @@
          << "listen.directory=" << config.address << ":" << DirectoryPort << "\n"
          << "internalPorts=7380,7395\nseeds=" << absl::StrJoin(seeds, ",") << "\n"
          << "limits.memoryMb=140\nbounds.graceS=8\n"
-         << "platform.addr=" << config.store.text() << "\n";
+         << "platform.addr=" << config.store.text() << "\npeers.secret=soak\n";
 }
 
 Endpoint Fleet::frontEndpoint(std::size_t vm) const
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -61,6 +61,13 @@
     EXPECT_EQ(settings->stopGrace, Seconds(8));
 }
 
+/** VMs whose secrets differ drop each other's datagrams and never learn of each other. */
+TEST(PlatformSettings, VmsThatReachTheStoreAtDifferentAddressesCanShareASecret)
+{
+    EXPECT_EQ(parseNodeSettings(GoodSettings)->peerSecret, "10.200.1.7:8142");
+    EXPECT_EQ(parseNodeSettings(GoodSettings + "peers.secret=shared\n")->peerSecret, "shared");
+}
+
 TEST(PlatformSettings, ErrorNamesTheKey)
 {
     for (const std::string key :
