A replica that comes and goes between two readings of the registry is not used

Cause: one reading of the feed held the replica's registration and its removal. Removals were applied as they were read, registrations after all rows, so that the older change won and the replica stayed in use for good.

--- a/tests/platform/registry_reader_test.cpp
+++ b/tests/platform/registry_reader_test.cpp
@@ -69,6 +69,24 @@
     EXPECT_EQ(m_version, ConfigurationVersion(7));
 }
 
+/** One reading of the feed may hold several changes of a replica; the newest one counts. */
+TEST_F(RegistryReaderTest, ReplicaThatComesAndGoesBetweenTwoReadingsIsNotUsed)
+{
+    m_store.put(replicaRow("c"), registration("ready", 1));
+    m_timers.run(Milliseconds(10));
+    m_store.remove(replicaRow("c"));
+    m_store.put(replicaRow("d"), registration("ready", 1));
+    m_timers.run(Milliseconds(10));
+    m_store.put(replicaRow("d"), "unreadable");
+    m_store.remove(replicaRow("a"));
+    m_timers.run(Milliseconds(10));
+    m_store.put(replicaRow("a"), registration("ready", 9));
+    m_timers.run(Milliseconds(1'900));
+    EXPECT_FALSE(isUsable("c"));
+    EXPECT_FALSE(isUsable("d"));
+    EXPECT_TRUE(isUsable("a"));
+}
+
 TEST_F(RegistryReaderTest, ReadsAllRowsAgainAfterHistoryWasCompacted)
 {
     m_store.put({"op", "", "config"}, R"({"version":8})");
