Comments on the origins of streams

What stopped a reader of the diff: whose beginning counts as started in the queue, what a version that is gone stands for, and what is found without asking other VMs. No logic changed.

--- a/control/call_queue_order.h
+++ b/control/call_queue_order.h
@@ -18,7 +18,7 @@
     std::optional<SteadyTime> programDeadline;
     /** Priority of the route; 0 is the most urgent. */
     int priority = 0;
-    /** A replica has served an earlier call of the program. */
+    /** A replica has served an earlier call of the program, or the beginning of this stream. */
     bool programStarted = false;
     SteadyTime queuedAt;
 };
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -47,7 +47,6 @@
     case CallRefusalReason::BadCall:
     case CallRefusalReason::BudgetExhausted:
     case CallRefusalReason::UnknownTurn:
-    // The caller has to begin the stream again.
     case CallRefusalReason::StreamVersionUnknown:
     case CallRefusalReason::StreamVersionGone:
         break;
@@ -156,7 +155,8 @@
     }
     // The caller doesn't say where the stream began, so nobody can be asked.
     OriginLookup lookup;
-    const auto version = m_dependencies.replicas.presentVersion(call.service);
+    const std::optional<SoftwareVersion> version =
+        m_dependencies.replicas.presentVersion(call.service);
     if (version.has_value()) {
         lookup = {StreamOrigin{call.service, *version, ReplicaId()}, OriginSource::OnlyVersion};
     }
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -186,6 +186,7 @@
         friend auto operator<=>(const ServiceVersion &, const ServiceVersion &) = default;
     };
 
+    /** A replica of this version may have begun streams until now. */
     void noteVersionGone(const ReplicaEntry &entry);
 
     const Clock &m_clock;
--- a/control/stream_origins.h
+++ b/control/stream_origins.h
@@ -92,10 +92,12 @@
         FindCallback done;
     };
 
+    /** What this VM knows without asking others. */
     OriginLookup findHere(const AttemptId &firstAttempt, const PoolName &service) const;
     void askPeers(const AttemptId &firstAttempt, const PoolName &service, FindCallback done);
     void answer(const Endpoint &to, const peers::StreamOriginNote &question);
     void handleAnswer(const Endpoint &from, const peers::StreamOriginNote &note);
+    /** Ends a lookup with what the other VMs have answered. */
     void finish(std::int64_t id, const std::optional<StreamOrigin> &origin);
 
     Timers &m_timers;
