Log the limits that replicas name, and which tries knew of them

The header Server-Limit is now read on every answer (whole, head of a stream, refusal, error, answers to earlier requests); a VM keeps per incarnation of a replica what its newest answer says. Lines 'limited', 'limit-ended', 'limit-unreadable'; the limit known at the choice in 'attempt' and 'call' lines; three counters. Placement is unchanged.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -63,6 +63,8 @@
     CallerChannel &channel;
     CallDispatch dispatch;
     SteadyTime startedAt;
+    /** When the request was sent to the present replica. */
+    SteadyTime sentAt = SteadyTime();
     ReplicaObservation observation = ReplicaObservation();
     /** Number of replicas that may have run the call. */
     int possibleRuns = 0;
@@ -238,8 +240,9 @@
     }
     const std::string head =
         progress.codec.requestHead(dispatch.replica, timeLeft, bodyBytes, progress.lastEventId);
-    const SteadyTime sentAt = m_clock.now();
+    progress.sentAt = m_clock.now();
     progress.possibleRuns += 1;
+    m_counters.requestsUnderLimit += dispatch.replicaLimit.has_value() ? 1 : 0;
     ReplicaResponseHead reply;
     const bool sent = co_await connection->send(head, body, dispatch.deadline);
     if (!sent || !co_await readMatchingHead(progress, *connection, reply)) {
@@ -272,7 +275,7 @@
         attemptResult = co_await forwardBufferedResponse(progress, *connection, reply);
     }
     if (attemptResult == AttemptResult::Delivered && !progress.observation.latency.has_value()) {
-        progress.observation.latency = m_clock.now() - sentAt;
+        progress.observation.latency = m_clock.now() - progress.sentAt;
     }
     if (attemptResult == AttemptResult::Incomplete) {
         progress.observation.outcome = Outcome::Failed;
@@ -301,7 +304,13 @@
         if (head.replicaLeaves && !head.wrongReplica) {
             noteReplicaLeaving(progress);
         }
+        if (!head.wrongReplica) {
+            noteReplicaLimit(progress, head.limit);
+        }
         if (head.matchesCall) {
+            if (head.limit.kind == LimitStatement::Kind::NoLimit && !head.wrongReplica) {
+                progress.observation.noLimitSince = progress.sentAt;
+            }
             co_return true;
         }
         connection.markUnusable();
@@ -325,6 +334,20 @@
                });
 }
 
+void CallForwarder::noteReplicaLimit(const Progress &progress, const LimitStatement &statement)
+{
+    if (statement.kind == LimitStatement::Kind::NoLimit) {
+        return;
+    }
+    const bool readable = statement.kind == LimitStatement::Kind::Limited;
+    (readable ? m_counters.limitedAnswers : m_counters.unreadableLimits) += 1;
+    asio::post(m_control,
+               [this, replica = progress.dispatch.replica, attempt = progress.call.attempt,
+                statement, sentAt = progress.sentAt] {
+                   m_scheduler.noteReplicaLimit(replica, attempt, statement, sentAt);
+               });
+}
+
 asio::awaitable<CallForwarder::AttemptResult>
 CallForwarder::forwardBufferedResponse(Progress &progress, ReplicaConnection &connection,
                                        const ReplicaResponseHead &head)
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -33,6 +33,8 @@
     bool isEventStream = false;
     /** The replica is about to stop and must get no new calls. */
     bool replicaLeaves = false;
+    /** What the answer says about the requests that the replica takes from all VMs. */
+    LimitStatement limit;
     std::optional<ReportedLoad> load;
     /** How long the replica keeps an idle connection open, if it says so. */
     std::optional<Duration> keepAliveTimeout;
@@ -92,6 +94,12 @@
     std::atomic<std::uint64_t> replicaConnections = 0;
     /** Answers in which replicas said that they leave. */
     std::atomic<std::uint64_t> leavingAnswers = 0;
+    /** Answers in which replicas named a limit on their requests, and those that named none that
+     * can be read. */
+    std::atomic<std::uint64_t> limitedAnswers = 0;
+    std::atomic<std::uint64_t> unreadableLimits = 0;
+    /** Requests sent to replicas that were known to have a limit. */
+    std::atomic<std::uint64_t> requestsUnderLimit = 0;
     /** Durations of served calls and streams. */
     Metrics latencies;
 };
@@ -129,6 +137,8 @@
                                                   ReplicaResponseHead &head);
     /** Tells the scheduler that the replica of this attempt leaves. */
     void noteReplicaLeaving(const Progress &progress);
+    /** Tells the scheduler which limit the replica of this attempt names, if it names one. */
+    void noteReplicaLimit(const Progress &progress, const LimitStatement &statement);
     boost::asio::awaitable<AttemptResult> forwardBufferedResponse(Progress &progress,
                                                                   ReplicaConnection &connection,
                                                                   const ReplicaResponseHead &head);
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -1,5 +1,6 @@
 #include "control/call_scheduler.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
 #include <limits>
@@ -30,6 +31,9 @@
 constexpr std::int64_t ConnectionGenerations = 2;
 /** Objects whose replica a VM remembers; they take some hundred kilobytes. */
 constexpr std::size_t MaxRememberedObjects = 2'000;
+/** Replicas of which it is remembered that their limits cannot be read, so that it is logged once.
+ */
+constexpr std::size_t MaxUnreadableLimits = 1'000;
 /** Shares set aside for VMs that are added while connections are open. */
 constexpr std::size_t SpareVmShares = 2;
 
@@ -54,6 +58,12 @@
     return Milliseconds(0);
 }
 
+/** A limit in log lines, in requests per second; "-" if there is none. */
+std::string limitText(const std::optional<RequestRate> &limit)
+{
+    return limit.has_value() ? absl::StrCat(limit->value()) : "-";
+}
+
 /** The call's program; a call without one counts as a program of its own. */
 ProgramId programOf(const IncomingCall &call)
 {
@@ -92,6 +102,8 @@
 CallScheduler::CallScheduler(Dependencies dependencies)
     : m_dependencies(std::move(dependencies))
     , m_objects(MaxRememberedObjects)
+    , m_limits(m_dependencies.clock)
+    , m_unreadableLimits(MaxUnreadableLimits)
 { }
 
 bool CallScheduler::setRouteTable(std::shared_ptr<const RouteTable> table)
@@ -381,7 +393,8 @@
     result.deadline = call.deadline;
     call.dispatches += 1;
     call.triedReplicas.insert(replica.entry.id);
-    call.attemptedReplicas.push_back({replica.entry.id, replica.entry.softwareVersion});
+    result.replicaLimit = m_limits.limitOf(fingerprintOf(incarnationOf(replica.entry)));
+    call.attemptedReplicas.push_back({replica.entry, result.replicaLimit});
     call.currentReplica = replica.entry.id;
     call.lastReplica = replica.entry.id;
     call.placement = placementInputs(replica, m_dependencies.clock.now());
@@ -414,6 +427,10 @@
     if (observation.outcome != ReplicaObservation::Outcome::Served) {
         logFailedAttempt(call, observation);
     }
+    if (observation.noLimitSince.has_value()) {
+        noteReplicaLimit(call.attemptedReplicas.back().entry, call.incoming.attempt, {},
+                         *observation.noLimitSince);
+    }
     m_dependencies.replicas.endRequest(*call.currentReplica, observation);
     call.currentReplica.reset();
 }
@@ -435,7 +452,7 @@
     }
     Call &call = found->second;
     const AttemptedReplica &replica = call.attemptedReplicas.back();
-    call.streamOrigin = StreamOrigin{call.service, replica.version, replica.id};
+    call.streamOrigin = StreamOrigin{call.service, replica.entry.softwareVersion, replica.entry.id};
     call.originSource = OriginSource::Recorded;
     if (call.route->resumable) {
         m_dependencies.streams.note(call.incoming.attempt, *call.streamOrigin);
@@ -457,6 +474,37 @@
         .info();
 }
 
+void CallScheduler::noteReplicaLimit(const ReplicaEntry &replica, const AttemptId &attempt,
+                                     const LimitStatement &statement, SteadyTime sentAt)
+{
+    if (statement.kind == LimitStatement::Kind::Unreadable) {
+        if (m_unreadableLimits.find(incarnationOf(replica)) == nullptr) {
+            m_unreadableLimits.put(incarnationOf(replica)) = true;
+            logLimit(replica, attempt, "limit-unreadable");
+        }
+        return;
+    }
+    if (m_limits.noteAnswer(fingerprintOf(incarnationOf(replica)), statement, sentAt)) {
+        logLimit(replica, attempt,
+                 statement.kind == LimitStatement::Kind::Limited ? "limited" : "limit-ended");
+    }
+}
+
+void CallScheduler::logLimit(const ReplicaEntry &replica, const AttemptId &attempt,
+                             std::string_view outcome) const
+{
+    const std::optional<RequestRate> limit =
+        m_limits.limitOf(fingerprintOf(incarnationOf(replica)));
+    LogLine("replica")
+        .add("replica", replica.id.value())
+        .add("service", replica.service.value())
+        .add("started_at", replica.startedAtMillis)
+        .add("request", attempt.value())
+        .add("limit", limitText(limit))
+        .add("outcome", std::string(outcome))
+        .info();
+}
+
 void CallScheduler::endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation)
 {
     releaseReplica(m_calls[handle], observation);
@@ -510,7 +558,8 @@
     LogLine("attempt")
         .add("request", call.incoming.attempt.value())
         .add("replica", call.currentReplica->value())
-        .add("version", call.attemptedReplicas.back().version.value())
+        .add("version", call.attemptedReplicas.back().entry.softwareVersion.value())
+        .add("limit", limitText(call.attemptedReplicas.back().limit))
         .add("outcome", observation.failureReason)
         .add("attempt", call.dispatches)
         .add("events", observation.eventsForwarded)
@@ -553,12 +602,15 @@
 {
     std::vector<std::string> replicas;
     std::vector<std::string> versions;
+    std::vector<std::string> limits;
     for (const AttemptedReplica &attempted : call.attemptedReplicas) {
-        replicas.push_back(attempted.id.value());
-        versions.push_back(attempted.version.value());
+        replicas.push_back(attempted.entry.id.value());
+        versions.push_back(attempted.entry.softwareVersion.value());
+        limits.push_back(limitText(attempted.limit));
     }
     line.add("replicas", absl::StrJoin(replicas, ","))
         .add("versions", absl::StrJoin(versions, ","))
+        .add("limits", absl::StrJoin(limits, ","))
         .add("own", call.placement.ownRequests)
         .add("reported", call.placement.reportedRequests)
         .add("waited_ms", toMillis(call.queueTime))
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -3,6 +3,7 @@
 #include "control/call_queue_order.h"
 #include "control/ledger_relay.h"
 #include "control/object_locations.h"
+#include "control/replica_limits.h"
 #include "control/replica_table.h"
 #include "control/route_table.h"
 #include "control/store_health.h"
@@ -12,6 +13,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/logging.h"
+#include "core/lru_map.h"
 
 #include <functional>
 #include <map>
@@ -101,6 +103,8 @@
     /** Points into `table`. */
     const RoutePolicy *route = nullptr;
     ReplicaEntry replica;
+    /** The limit that the replica had named when it was chosen; none if it had named none. */
+    std::optional<RequestRate> replicaLimit;
     std::int64_t tokensPerEvent = 0;
     /** The conversation before the new input; null if there is none or the route stores no turns.
      */
@@ -167,6 +171,12 @@
     void noteStreamStarted(CallHandle handle);
     /** A replica has said in its answer to @p attempt that it leaves. */
     void noteReplicaLeaving(const ReplicaEntry &replica, const AttemptId &attempt);
+    /**
+     * A replica has said in its answer to @p attempt, which was sent to it at @p sentAt, how many
+     * requests it takes.
+     */
+    void noteReplicaLimit(const ReplicaEntry &replica, const AttemptId &attempt,
+                          const LimitStatement &statement, SteadyTime sentAt);
     /** Ends the attempt at the current replica; the call stays open. */
     void endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation);
     /**
@@ -182,8 +192,9 @@
     /** A replica that a call was sent to, for the log. */
     struct AttemptedReplica
     {
-        ReplicaId id;
-        SoftwareVersion version;
+        ReplicaEntry entry;
+        /** The limit that it had named by then. */
+        std::optional<RequestRate> limit;
     };
 
     struct Call
@@ -243,6 +254,8 @@
     void storeTurn(const Call &call, const CallCompletion &completion,
                    std::function<void(bool)> done);
     void releaseReplica(Call &call, const ReplicaObservation &observation);
+    void logLimit(const ReplicaEntry &replica, const AttemptId &attempt,
+                  std::string_view outcome) const;
     void logFailedAttempt(const Call &call, const ReplicaObservation &observation) const;
     void logCompletion(const Call &call, const CallCompletion &completion) const;
     /** Adds which replicas the call was sent to, and why, to a log line. */
@@ -253,6 +266,8 @@
     Dependencies m_dependencies;
     std::shared_ptr<const RouteTable> m_table;
     ObjectLocations m_objects;
+    ReplicaLimits m_limits;
+    LruMap<ReplicaIncarnation, bool> m_unreadableLimits;
     std::map<CallHandle, Call> m_calls;
     std::vector<QueuedCall> m_queue;
     bool m_queueCheckScheduled = false;
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -71,6 +71,8 @@
     std::optional<Duration> latency;
     /** Mean time between two events of a stream. */
     std::optional<Duration> eventInterval;
+    /** The answer to the request, which was sent at this time, names no limit. */
+    std::optional<SteadyTime> noLimitSince;
     /** Events that the caller had received of its answer, from all replicas, when it ended. */
     std::int64_t eventsForwarded = 0;
 };
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -36,14 +36,11 @@
 constexpr std::size_t AssumedVmCount = 16;
 /** Callers do not benefit from more addresses than this. */
 constexpr std::size_t MaxAddresses = 64;
-/** Keeps the encoding of fingerprints short; among thousands of VMs no two are likely to agree. */
-constexpr int FingerprintBits = 48;
 
 /** Identifies one incarnation of a VM in heartbeats. */
 std::int64_t fingerprintOf(const VmId &vm, std::int64_t incarnation)
 {
-    const std::uint64_t hash = hashOf(absl::StrCat(vm.value(), "/", incarnation));
-    return static_cast<std::int64_t>(hash >> (64 - FingerprintBits));
+    return boragepath::fingerprintOf(absl::StrCat(vm.value(), "/", incarnation));
 }
 
 /** State of a known incarnation of a VM, as somebody reported it. */
--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -8,11 +8,23 @@
 
 namespace boragepath {
 
+namespace {
+
+/** Keeps the encoding of fingerprints short. */
+constexpr int FingerprintBits = 48;
+
+} // namespace
+
 std::uint64_t hashOf(std::string_view text)
 {
     return XXH3_64bits(text.data(), text.size());
 }
 
+std::int64_t fingerprintOf(std::string_view text)
+{
+    return static_cast<std::int64_t>(hashOf(text) >> (64 - FingerprintBits));
+}
+
 ShardIndex shardOf(const ProgramKey &key, std::uint32_t shardCount)
 {
     const std::string name = absl::StrCat(key.entry.value(), "/", key.program.value());
--- a/core/hash.h
+++ b/core/hash.h
@@ -11,6 +11,12 @@
 /** The 64-bit XXH3 hash of @p text. It is the same on all machines and in all versions. */
 std::uint64_t hashOf(std::string_view text);
 
+/**
+ * A short hash of @p text that names a thing in messages between VMs. Among thousands of things no
+ * two are likely to have the same one.
+ */
+std::int64_t fingerprintOf(std::string_view text);
+
 /** The shard that a program belongs to, of @p shardCount shards. */
 ShardIndex shardOf(const ProgramKey &key, std::uint32_t shardCount);
 
--- a/core/units.h
+++ b/core/units.h
@@ -1,10 +1,15 @@
 #pragma once
 
+#include "core/strong_type.h"
+
 #include <algorithm>
 #include <cstdint>
 
 namespace boragepath {
 
+/** Requests per second. */
+using RequestRate = StrongType<double, struct RequestRateTag>;
+
 /**
  * What a call may cost, or has cost, in tokens and in money.
  *
--- a/net/http_types.cpp
+++ b/net/http_types.cpp
@@ -85,6 +85,11 @@
     return "";
 }
 
+std::vector<std::string> HttpResponse::headerValues(const std::string &name) const
+{
+    return fieldValues(fields, name);
+}
+
 std::string HttpResponse::headerValue(const std::string &name) const
 {
     const std::vector<std::string> values = fieldValues(fields, name);
--- a/net/http_types.h
+++ b/net/http_types.h
@@ -40,6 +40,8 @@
     std::vector<HttpField> fields;
     std::string body;
 
+    /** Values of all header fields with this name; names are compared without regard to case. */
+    std::vector<std::string> headerValues(const std::string &name) const;
     /** Value of the first header field with this name, or empty. */
     std::string headerValue(const std::string &name) const;
 };
