Turns that may not have run keep their tokens reserved, but do not exhaust a budget

Cause: the coordinator's grant counted turns without a settlement as spent: when their time was over, at its planned stop, and, while they were under way, in the decision whether a larger grant would exceed the budget. Such a turn may never have reached a replica, as its VM was killed, paused or refused it. Evidence: two tests without processes that failed before (402 while the first of two turns is only reserved, after its VM is killed, after the coordinator is killed; spent 360 after a planned stop) and pass now. Change: their tokens stay reserved under a grant's id, which no one refuses for; the answer is 503, not run, until the turn is settled.

--- a/control/budget_grants.cpp
+++ b/control/budget_grants.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -19,9 +20,9 @@
 
 } // namespace
 
-std::int64_t BudgetGrants::Grant::activeTokens() const
+std::int64_t BudgetGrants::Grant::uncertainTokens() const
 {
-    std::int64_t total = 0;
+    std::int64_t total = unsettled;
     for (const auto &[turn, active] : turns) {
         total += active.maxTokens;
     }
@@ -89,7 +90,7 @@
             ++turn;
             continue;
         }
-        grant.spent += turn->second.maxTokens;
+        grant.unsettled += turn->second.maxTokens;
         turn = grant.turns.erase(turn);
     }
     std::deque<WaitingRequest> late;
@@ -114,7 +115,7 @@
     while (!grant.exchanging && !grant.waiting.empty()) {
         const ReservationRequest &request = grant.waiting.front().request;
         const bool covered = !grant.id.value().empty()
-            && grant.size - grant.spent - grant.activeTokens() >= request.maxTokens;
+            && grant.size - grant.spent - grant.uncertainTokens() >= request.maxTokens;
         if (!covered) {
             exchange(program, grant);
             continue;
@@ -133,13 +134,14 @@
 void BudgetGrants::exchange(const ProgramId &program, Grant &grant)
 {
     const ReservationRequest &first = grant.waiting.front().request;
-    const std::int64_t activeTokens = grant.activeTokens();
+    const std::int64_t uncertainTokens = grant.uncertainTokens();
     ReservationRequest request;
     request.program = program;
-    request.turn = grantId(absl::StrCat(m_holder, "/", m_nextGrantNumber++));
+    request.turn = newGrantId();
     request.budget = first.budget;
-    request.minTokens = activeTokens + first.maxTokens;
-    request.maxTokens = activeTokens + first.maxTokens * TurnsPerGrant;
+    request.minTokens = uncertainTokens + first.maxTokens;
+    request.maxTokens = uncertainTokens + first.maxTokens * TurnsPerGrant;
+    request.uncertainTokens = uncertainTokens;
     request.replaces = grant.id;
     request.replacedSpent = grant.spent;
     grant.exchanging = true;
@@ -200,9 +202,33 @@
     }
     const Grant closed = std::move(grant);
     m_grants.erase(found);
-    if (!closed.id.value().empty()) {
-        m_ledger.settle({program, closed.id, closed.spent});
+    release(program, closed);
+}
+
+AttemptId BudgetGrants::newGrantId()
+{
+    return grantId(absl::StrCat(m_holder, "/", m_nextGrantNumber++));
+}
+
+void BudgetGrants::release(const ProgramId &program, const Grant &grant)
+{
+    if (grant.id.value().empty()) {
+        return;
     }
+    const std::int64_t uncertainTokens = grant.uncertainTokens();
+    if (uncertainTokens == 0) {
+        m_ledger.settle({program, grant.id, grant.spent});
+        return;
+    }
+    // A smaller grant, which nobody settles, keeps the tokens of turns that may have run.
+    ReservationRequest rest;
+    rest.program = program;
+    rest.turn = newGrantId();
+    rest.budget = std::numeric_limits<std::int64_t>::max();
+    rest.maxTokens = uncertainTokens;
+    rest.replaces = grant.id;
+    rest.replacedSpent = grant.spent;
+    m_ledger.reserve(rest, SteadyTime::max(), [](ReservationResult) {});
 }
 
 void BudgetGrants::releaseAll()
@@ -215,11 +241,7 @@
     }
     for (const ProgramId &program : programs) {
         const auto node = m_grants.extract(program);
-        const Grant &grant = node.mapped();
-        if (!grant.id.value().empty()) {
-            // Running turns count at their maximum, since their settlements will not arrive here.
-            m_ledger.settle({program, grant.id, grant.spent + grant.activeTokens()});
-        }
+        release(program, node.mapped());
     }
 }
 
--- a/control/budget_grants.h
+++ b/control/budget_grants.h
@@ -23,7 +23,8 @@
  * end every program. A grant covers the maximum of a few turns. When it runs out,
  * one transaction settles what was used of it and reserves the next grant. A grant
  * is in the row like any other reservation, so the budget is kept whichever VM
- * fails: the rest of a lost VM's grant counts as spent.
+ * fails: the rest of a lost VM's grant stays reserved. Tokens of turns whose end is not known stay
+ * reserved too, but do not exhaust the budget, since the turns may not have run.
  */
 class BudgetGrants
 {
@@ -72,6 +73,8 @@
         AttemptId id;
         std::int64_t size = 0;
         std::int64_t spent = 0;
+        /** The most tokens of turns that have not been settled in time; they may have run. */
+        std::int64_t unsettled = 0;
         std::map<AttemptId, ActiveTurn> turns;
         /** An exchange is in progress; no tokens are reserved from the grant until it is done. */
         bool exchanging = false;
@@ -79,8 +82,8 @@
         std::deque<WaitingRequest> waiting;
         SteadyTime lastUsed;
 
-        /** Sum of the reservations of running turns. */
-        std::int64_t activeTokens() const;
+        /** What the grant must cover besides the tokens spent: turns that run or may have run. */
+        std::int64_t uncertainTokens() const;
     };
 
     void processQueue(const ProgramId &program);
@@ -91,6 +94,9 @@
     void expireOverdue(Grant &grant);
     void scheduleClose(const ProgramId &program, Grant &grant);
     void closeIfIdle(const ProgramId &program);
+    /** Releases what a grant doesn't need any more. */
+    void release(const ProgramId &program, const Grant &grant);
+    AttemptId newGrantId();
 
     const Clock &m_clock;
     Timers &m_timers;
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -233,8 +233,9 @@
     if (!program.fresh) {
         return ChangeAction::NeedsRead;
     }
-    return tokensCertainlyUsed(changed) + needed > request.budget ? ChangeAction::Refuse
-                                                                  : ChangeAction::Blocked;
+    const std::int64_t certainlyNeeded =
+        tokensCertainlyUsed(changed) + needed - request.uncertainTokens;
+    return certainlyNeeded > request.budget ? ChangeAction::Refuse : ChangeAction::Blocked;
 }
 
 void ProgramLedger::send(const ProgramId &id, Program &program)
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -39,6 +39,11 @@
      * maxTokens. 0 for a turn, which always reserves maxTokens.
      */
     std::int64_t minTokens = 0;
+    /**
+     * For a grant: the part of minTokens that covers turns which may turn out not to have run. The
+     * budget is not exhausted if it covers the rest.
+     */
+    std::int64_t uncertainTokens = 0;
 };
 
 /** The tokens that one turn generated. Replaces its reservation. */
--- a/tests/control/ledger_relay_test.cpp
+++ b/tests/control/ledger_relay_test.cpp
@@ -246,6 +246,63 @@
     EXPECT_EQ(result, ReservationResult::StoreUnavailable);
 }
 
+/** The VM that reserved for a turn is killed or paused before it sends the turn to a replica. */
+TEST(LedgerRelay, TurnThatNeverReachedAReplicaDoesNotMakeARefusalUntrue)
+{
+    RelayFleet fleet(3);
+    std::size_t asking = 0;
+    while (!fleet.vms[asking]->directory.coordinatorFor("program").has_value()) {
+        asking += 1;
+    }
+    const std::size_t coordinator = asking == 0 ? 1 : 0;
+    ReservationResult result = ReservationResult::StoreUnavailable;
+    const auto reserve = [&](const std::string &turn) {
+        fleet.reserve(asking, turn, 540, 360, [&](ReservationResult answer) { result = answer; });
+        fleet.timers.run(Seconds(3));
+        return result;
+    };
+    EXPECT_EQ(reserve("first"), ReservationResult::Granted);
+    {
+        SCOPED_TRACE("it may still be about to be sent");
+        EXPECT_EQ(reserve("second"), ReservationResult::StoreUnavailable);
+    }
+    {
+        SCOPED_TRACE("its VM is killed, and its time is over");
+        fleet.restart(asking);
+        fleet.timers.run(Seconds(20));
+        EXPECT_EQ(reserve("third"), ReservationResult::StoreUnavailable);
+    }
+    {
+        SCOPED_TRACE("the coordinator is killed as well");
+        fleet.restart(coordinator);
+        fleet.timers.run(Seconds(3));
+        EXPECT_EQ(reserve("fourth"), ReservationResult::StoreUnavailable);
+    }
+    {
+        SCOPED_TRACE("its tokens are kept for it all the same: it may have run");
+        EXPECT_GE(committedTokens(fleet.record()), 360);
+    }
+}
+
+/** A VM that stops as planned no longer hears what became of the turns that it reserved for. */
+TEST(LedgerRelay, PlannedStopOfTheCoordinatorDoesNotSpendTheTokensOfTurnsThatMayNotRun)
+{
+    RelayFleet fleet(2);
+    std::size_t coordinator = 0;
+    while (fleet.vms[coordinator]->directory.coordinatorFor("program").has_value()) {
+        coordinator += 1;
+    }
+    ReservationResult result = ReservationResult::StoreUnavailable;
+    fleet.reserve(1 - coordinator, "first", 540, 360,
+                  [&](ReservationResult answer) { result = answer; });
+    fleet.timers.run(Milliseconds(50));
+    EXPECT_EQ(result, ReservationResult::Granted);
+    fleet.vms[coordinator]->grants.releaseAll();
+    fleet.timers.run(Seconds(3));
+    EXPECT_EQ(fleet.record().spent, 0);
+    EXPECT_GE(committedTokens(fleet.record()), 360);
+}
+
 TEST(LedgerRelay, ReservesInTheStoreIfTheCoordinatorIsUnreachable)
 {
     RelayFleet fleet(4);
