Load reports fade instead of lapsing; prompts stay where all replicas are as busy

What callers saw: while some replicas are limited, the others get twice their load, turns take 1.2 s instead of .3 s and programs end late. Cause: a VM sees a busy replica's load every .4 s at most, and after .3 s forgot all but its own requests there, so that a full replica looked empty and got further programs; and a turn whose replica was at more than one and a half times its slots moved to another that was as full and read its prompt anew. Change: an older report counts for half as much every .4 s, up to 3 s; a prompt is given up for a replica that is less busy by half its slots.

--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 
 namespace boragepath {
 
@@ -12,11 +14,15 @@
 
 /** Older measurements of a replica's response time are ignored. */
 constexpr Milliseconds MaxMeasurementAge{5'000};
-/** Older load reports are ignored: a replica serves many requests in this time. */
-constexpr Milliseconds MaxLoadReportAge{300};
+/** A replica serves many requests in this time, so that an older load report counts for less. */
+constexpr Milliseconds LoadReportLifetime{300};
+constexpr Milliseconds LoadReportHalfLife{400};
+constexpr Milliseconds MaxLoadReportAge{3'000};
 /** Time for which one failure excludes a replica; doubles with each further one in a row. */
 constexpr Milliseconds FirstExclusion{300};
 constexpr Milliseconds LongestExclusion{3'000};
+/** A replica that has declined a request counts as full for this long. */
+constexpr Milliseconds DeclinedPause{300};
 /** Weight of the newest sample in smoothed times. */
 constexpr double NewSampleWeight = 0.3;
 /** Affinity is ignored for a replica that is slower than the median by this factor. */
@@ -30,6 +36,9 @@
 /** The same limit for a replica that has the prompt cached. It is higher because any other replica
  * would have to process the prompt again, which slows down all requests there. */
 constexpr double MaxPromptUtilization = 1.5;
+/** Where all replicas are as busy, one that has the prompt cached is chosen up to this much more
+ * utilization than that of the least busy one. */
+constexpr double PromptAdvantage = 0.5;
 /** The same limit for a replica that has handled the object: it saves a part of the work, but not
  * as much time as a request waits for a slot. */
 constexpr double MaxObjectUtilization = 1.0;
@@ -105,16 +114,25 @@
                         / static_cast<double>(median.count()));
 }
 
+/** How much of a report of this age still counts; from 0 to 1. */
+double reportWeight(Duration age)
+{
+    if (age <= LoadReportLifetime) {
+        return 1;
+    }
+    const std::chrono::duration<double> late = age - LoadReportLifetime;
+    const std::chrono::duration<double> halfLife = LoadReportHalfLife;
+    return age >= MaxLoadReportAge ? 0 : std::exp2(-late / halfLife);
+}
+
 /** Requests in progress or waiting at a replica, by this VM's estimate. */
 double estimatedRequests(const ReplicaState &replica, SteadyTime now)
 {
     const auto own = static_cast<double>(replica.ownRequests);
-    if (now >= replica.reportedAt + MaxLoadReportAge) {
-        return own;
-    }
-    const std::int64_t reported =
-        replica.load.running + replica.load.waiting + replica.startedSinceReport;
-    return std::max(own, static_cast<double>(reported));
+    const auto reported = static_cast<double>(replica.load.running + replica.load.waiting
+                                              + replica.startedSinceReport);
+    const double ofOthers = std::max(0.0, reported - own);
+    return own + ofOthers * reportWeight(now - replica.reportedAt);
 }
 
 } // namespace
@@ -308,9 +326,8 @@
         return;
     }
     if (observation.outcome == ReplicaObservation::Outcome::Declined && !observation.wrongReplica) {
-        // The replica is overloaded, not faulty: treat it as full instead of counting a failure.
-        replica.load.waiting = std::max(replica.load.waiting, replica.entry.slots);
-        replica.reportedAt = now;
+        // The replica is overloaded, not faulty.
+        replica.fullUntil = now + DeclinedPause;
         return;
     }
     replica.failures += 1;
@@ -336,13 +353,15 @@
 
 double utilizationOf(const ReplicaState &replica, SteadyTime now)
 {
-    return estimatedRequests(replica, now)
+    const double utilization = estimatedRequests(replica, now)
         / static_cast<double>(std::max<std::int64_t>(1, replica.entry.slots));
+    return now < replica.fullUntil ? std::max(1.0, utilization) : utilization;
 }
 
 bool isFull(const ReplicaState &replica, SteadyTime now)
 {
-    return estimatedRequests(replica, now)
+    return now < replica.fullUntil
+        || estimatedRequests(replica, now)
         >= static_cast<double>(replica.entry.slots + MaxReplicaQueue);
 }
 
@@ -363,6 +382,20 @@
     return (1 + utilizationOf(replica, now)) * slowdownOf(replica, median, now);
 }
 
+/** Utilization of the least busy replica that has named no limit; 0 if there is none. */
+double leastUtilization(const std::vector<const ReplicaState *> &replicas,
+                        const PlacementRequest &request, SteadyTime now)
+{
+    std::optional<double> least;
+    for (const ReplicaState *replica : replicas) {
+        if (!request.limitedReplicas.contains(replica->entry.id)) {
+            const double utilization = utilizationOf(*replica, now);
+            least = std::min(least.value_or(utilization), utilization);
+        }
+    }
+    return least.value_or(0);
+}
+
 /**
  * The replica for a request by its prompt or object: the one that has it in memory,
  * else the cheaper of the two that rendezvous hashing ranks first for the affinity key
@@ -372,8 +405,9 @@
                                     const PlacementRequest &request, Duration median,
                                     SteadyTime now)
 {
-    const double maxWarmUtilization =
-        request.warmState == WarmState::Prompt ? MaxPromptUtilization : MaxObjectUtilization;
+    const double maxWarmUtilization = request.warmState == WarmState::Prompt
+        ? std::max(MaxPromptUtilization, leastUtilization(healthy, request, now) + PromptAdvantage)
+        : MaxObjectUtilization;
     const ReplicaState *first = nullptr;
     const ReplicaState *second = nullptr;
     std::uint64_t firstWeight = 0;
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -103,6 +103,8 @@
     /** Smoothed time between two events of a stream; zero if unknown. */
     Duration eventInterval{0};
     SteadyTime measuredAt;
+    /** It has declined a request lately. */
+    SteadyTime fullUntil;
     /** Consecutive failures. */
     int failures = 0;
     /** Until then, the failures exclude the replica from placement if others are available. */
