Answers without end are given up by their size

What callers saw, where a replica sends bytes that are no answer without end: no answer until their own time was over, from a VM that read on until then and kept what it read. Cause: an event without an end, heads of status 1xx, chunk extensions and answers to other requests had no bound in bytes, the bodies of all calls together none, nor had whole bodies that the HTTP client reads (store, operators' calls). Change: 256 KB an event, 16 KB a head, 8 heads of status 1xx, 64 KB unparsed, 1 MB of an answer to an earlier request, 16 MB of whole bodies for all calls together (single ones 8 MB as before), 16 MB for a whole body of the client. The memory of 200 such connections was not measured.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -33,8 +33,13 @@
 constexpr Milliseconds MaxIdleForNonIdempotent{1'000};
 /** Responses to earlier calls that are skipped before the expected one. */
 constexpr int MaxStaleResponses = 2;
+/** Longer responses to earlier calls are not read to their end. */
+constexpr std::size_t MaxDiscardedBytes = 1UL * 1024 * 1024;
 /** Larger responses that are not event streams fail. */
 constexpr std::size_t MaxBufferedBodyBytes = 8UL * 1024 * 1024;
+/** While the responses that are buffered together take more, larger ones of them fail. */
+constexpr std::size_t MaxBufferedBytes = 16UL * 1024 * 1024;
+constexpr std::size_t SmallBodyBytes = 128UL * 1024;
 constexpr unsigned FirstServerError = 500;
 /** Retry-After of refusals without a replica: some replica has likely a free slot by then. */
 constexpr Milliseconds NoReplicaRetryAfter{150};
@@ -44,6 +49,28 @@
     return status / 100 == 2;
 }
 
+/** Counts the bytes of one response in the total, as long as it exists. */
+class BufferedBytes
+{
+public:
+    explicit BufferedBytes(std::size_t &total)
+        : m_total(total)
+    { }
+    ~BufferedBytes() { m_total -= m_bytes; }
+    BufferedBytes(const BufferedBytes &) = delete;
+    BufferedBytes &operator=(const BufferedBytes &) = delete;
+
+    void set(std::size_t bytes)
+    {
+        m_total = m_total - m_bytes + bytes;
+        m_bytes = bytes;
+    }
+
+private:
+    std::size_t &m_total;
+    std::size_t m_bytes = 0;
+};
+
 } // namespace
 
 /** How the attempt to run a call on one replica ended. */
@@ -322,8 +349,11 @@
         }
         connection.markUnusable();
         std::string discarded;
+        std::size_t discardedBytes = 0;
         while (!connection.responseComplete()) {
-            if (!co_await connection.readSome(discarded, silenceDeadline(progress))) {
+            const bool read = co_await connection.readSome(discarded, silenceDeadline(progress));
+            discardedBytes += discarded.size();
+            if (!read || discardedBytes > MaxDiscardedBytes) {
                 co_return false;
             }
             discarded.clear();
@@ -360,13 +390,19 @@
                                        const ReplicaResponseHead &head)
 {
     std::string body;
+    BufferedBytes buffered(m_bufferedBytes);
     while (!connection.responseComplete()) {
-        if (!co_await connection.readSome(body, silenceDeadline(progress))
-            || body.size() > MaxBufferedBodyBytes) {
+        if (!co_await connection.readSome(body, silenceDeadline(progress))) {
             progress.observation.failureReason = "answer broke off";
             co_return progress.channel.isDisconnected() ? AttemptResult::CallerGone
                                                         : AttemptResult::Incomplete;
         }
+        buffered.set(body.size());
+        const bool noRoom = m_bufferedBytes > MaxBufferedBytes && body.size() > SmallBodyBytes;
+        if (noRoom || body.size() > MaxBufferedBodyBytes) {
+            progress.observation.failureReason = "answer too long";
+            co_return AttemptResult::Incomplete;
+        }
     }
     if (progress.responseStarted) {
         // Part of a stream was sent already: a response of another kind cannot continue it.
@@ -457,6 +493,10 @@
                                                         : AttemptResult::Incomplete;
         }
         scanner.add(bytes);
+        if (scanner.isTooLong()) {
+            progress.observation.failureReason = "event without end";
+            co_return AttemptResult::Incomplete;
+        }
     }
     if (eventsFromReplica > 1) {
         progress.observation.eventInterval = (lastAt - firstAt) / (eventsFromReplica - 1);
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -155,6 +155,8 @@
     ReplicaConnectionPool &m_replicaConnections;
     const Clock &m_clock;
     ForwardCounters &m_counters;
+    /** Bytes of all responses that are being buffered; used by the traffic thread. */
+    std::size_t m_bufferedBytes = 0;
 };
 
 } // namespace boragepath
--- a/backends/replica_connection.cpp
+++ b/backends/replica_connection.cpp
@@ -28,6 +28,12 @@
 constexpr std::size_t ReadSize = 8'192;
 /** If sent bytes stay unacknowledged this long, the server is gone or unreachable. */
 constexpr int AcknowledgementTimeoutMillis = 2'000;
+/** Longest head of an answer. */
+constexpr std::uint32_t MaxHeadBytes = 16'384;
+/** Heads with a status of 1xx before the answer's own. */
+constexpr int MaxInterimHeads = 8;
+/** What is read and not yet parsed: a head, or the extension of a chunk. */
+constexpr std::size_t MaxUnparsedBytes = 65'536;
 /** Idle connections kept per server. */
 constexpr std::size_t MaxIdleConnections = 6;
 
@@ -42,7 +48,7 @@
     { }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxUnparsedBytes};
     std::optional<http::response_parser<http::buffer_body>> parser;
 };
 
@@ -89,15 +95,20 @@
 asio::awaitable<bool> ReplicaConnection::readHead(HttpResponse &head, SteadyTime until)
 {
     beast::error_code error;
-    do {
+    for (int interimHeads = 0;; ++interimHeads) {
         m_state->parser.emplace();
+        m_state->parser->header_limit(MaxHeadBytes);
         m_state->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         m_state->stream.expires_at(until);
         co_await http::async_read_header(m_state->stream, m_state->buffer, *m_state->parser,
                                          redirect_error(use_awaitable, error));
-    } while (!error && m_state->parser->get().result_int() / 100 == 1);
-    if (error) {
-        co_return false;
+        const bool isInterim = !error && m_state->parser->get().result_int() / 100 == 1;
+        if (error || (isInterim && interimHeads >= MaxInterimHeads)) {
+            co_return false;
+        }
+        if (!isInterim) {
+            break;
+        }
     }
     const auto &message = m_state->parser->get();
     head.status = message.result_int();
--- a/net/event_stream_parser.h
+++ b/net/event_stream_parser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +19,9 @@
     std::optional<std::int64_t> id;
 };
 
+/** Longest event of a stream. */
+inline constexpr std::size_t MaxEventBytes = 262'144;
+
 /** Splits a text/event-stream into events; buffers an incomplete event until the rest arrives. */
 class EventStreamParser
 {
@@ -27,6 +31,8 @@
     std::optional<StreamEvent> next();
     /** True if bytes are buffered that next() has not returned. */
     bool hasPartialEvent() const { return m_start < m_pending.size(); }
+    /** True if the event that is incomplete has more than MaxEventBytes; it is not an event. */
+    bool isTooLong() const { return m_pending.size() - m_start > MaxEventBytes; }
 
 private:
     std::string m_pending;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds MaxConnectTimeout{1'000};
 constexpr std::size_t ReadBufferBytes = 16'384;
 constexpr std::size_t MaxIdleConnections = 16;
+/** Longest body of a whole answer; twice the largest object that the platform's store keeps. */
+constexpr std::uint64_t MaxBodyBytes = 16UL * 1024 * 1024;
 
 http::request<http::string_body> makeMessage(const Endpoint &endpoint, const HttpRequest &request,
                                              bool keepAlive)
@@ -87,7 +89,7 @@
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.body_limit(MaxBodyBytes);
     co_await http::async_read(stream, buffer, parser, redirect_error(use_awaitable, error));
     if (error) {
         result.error = "read: " + error.message();
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -41,7 +41,7 @@
         co_return;
     }
     HttpResponse response;
-    response.body = request.body;
+    response.body = request.target == "/huge" ? std::string(17UL << 20, 'x') : request.body;
     co_await responder.send(response);
 }
 
@@ -279,4 +279,13 @@
     }
 }
 
+TEST(Http, AnswerThatIsLongerThanAnyServerOfOursSendsIsNotReadToItsEnd)
+{
+    HttpRequest request;
+    request.target = "/huge";
+    const HttpResult result = callTestServer(request, HttpLimits());
+    EXPECT_FALSE(result.complete);
+    EXPECT_TRUE(result.response.body.empty());
+}
+
 } // namespace boragepath
