--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -238,6 +238,10 @@
             m_checker.recordLeavingAnswer(
                 frontEndpoint, ReplicaAnswers::replicaOf(header.headerValue("Replica-Seal")));
         }
+        if (!header.headerValue("Server-Limit").empty()) {
+            m_checker.recordLimitedAnswer(
+                frontEndpoint, ReplicaAnswers::replicaOf(header.headerValue("Replica-Seal")));
+        }
         co_return !disconnects;
     };
     sink.onData = [&](const std::string &data) -> asio::awaitable<bool> {
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -181,6 +181,8 @@
         [this] { return rollOutVersion(); },
         [this] { return rollOutVersion(); },
         [this] { return disruptReplicaLink(); },
+        [this] { return limitReplicas(); },
+        [this] { return limitReplicas(); },
         [this]() -> asio::awaitable<void> {
             logEvent("configuration changed");
             writeConfiguration(m_deployment);
@@ -408,6 +410,38 @@
     }
 }
 
+void FaultInjector::nameLimit(std::size_t index, std::optional<double> limit)
+{
+    const ReplicaSite &site = m_deployment.replicas[index];
+    if (site.replica != nullptr) {
+        site.replica->nameLimit(limit);
+        m_deployment.onLimit(site.replica->id(), limit);
+    }
+}
+
+asio::awaitable<void> FaultInjector::limitReplicas()
+{
+    constexpr double Limits[] = {0.3, 0.6, 1, 2.5};
+    const double limit = Limits[randomIndex(4)];
+    const bool onlySome = randomIndex(2) == 0;
+    const std::string service = randomIndex(2) == 0 ? "engine" : "app";
+    logEvent(absl::StrCat(onlySome ? "some" : "all", " replicas of ", service, " take ", limit,
+                          " requests a second"));
+    std::vector<std::size_t> limited;
+    for (std::size_t index = 0; index < m_deployment.replicas.size(); ++index) {
+        if (m_deployment.replicas[index].service == service && (!onlySome || randomIndex(2) == 0)) {
+            limited.push_back(index);
+        }
+    }
+    for (const std::size_t index : limited) {
+        nameLimit(index, limit);
+    }
+    co_await sleepRandomly(Milliseconds(7'000), Milliseconds(14'000));
+    for (const std::size_t index : limited) {
+        nameLimit(index, std::nullopt);
+    }
+}
+
 asio::awaitable<void> FaultInjector::disruptReplicaLink()
 {
     const std::size_t index = randomIndex(m_deployment.replicas.size());
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -66,6 +67,7 @@
     std::vector<ReplicaSite> replicas;
     PlatformReplica::OnRequestRun onRequestRun;
     std::function<void(const std::string &replica)> onReplicaStart;
+    std::function<void(const std::string &replica, std::optional<double> limit)> onLimit;
     std::int64_t configurationVersion = 0;
     std::uint64_t nextReplica = 1;
     std::uint64_t seed = 0;
@@ -110,6 +112,9 @@
     boost::asio::awaitable<void> announceDeparture(ReplicaSite &site, Departure departure);
     Departure randomDeparture();
     boost::asio::awaitable<void> disruptReplicaLink();
+    /** Some replicas, or all of a service, name a limit for some seconds. */
+    boost::asio::awaitable<void> limitReplicas();
+    void nameLimit(std::size_t index, std::optional<double> limit);
     boost::asio::awaitable<void> sleepRandomly(Milliseconds shortest, Milliseconds longest);
     std::size_t randomIndex(std::size_t count) { return m_random() % count; }
     void logEvent(const std::string &event);
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -27,6 +27,13 @@
 
 /** A VM may send requests to a leaving replica for this long after it has passed on the news. */
 constexpr Milliseconds DrainBound{2'000};
+/** A VM heeds a limit this long after it has passed on an answer that names it. */
+constexpr Milliseconds LimitReactionTime{500};
+/** A limit binds from then on after the replica has first named it. */
+constexpr Milliseconds LimitBindsAfter{3'000};
+constexpr Milliseconds LimitWindow{4'000};
+constexpr double LimitTolerance = 1.5;
+constexpr double LimitSlackRequests = 5;
 /** What a VM knew this long before it was disrupted may be lost with it. */
 constexpr Milliseconds DisruptionMargin{1'000};
 
@@ -100,6 +107,56 @@
     }
     checkRequestBody(id, record, request);
     checkDraining(id, record, replica);
+    checkLimit(id, record, replica);
+}
+
+void InvariantChecker::recordLimit(const std::string &replica, std::optional<double> perSecond)
+{
+    m_limited.erase(replica);
+    if (perSecond.has_value()) {
+        m_limited[replica] = {*perSecond, m_clock.now(), {}, {}};
+    }
+}
+
+void InvariantChecker::recordLimitedAnswer(const Endpoint &front, const std::string &replica)
+{
+    m_counts["answers of limited replicas"] += 1;
+    const auto limited = m_limited.find(replica);
+    if (limited != m_limited.end()) {
+        limited->second.toldAt.try_emplace(front, m_clock.now());
+    }
+}
+
+void InvariantChecker::checkLimit(const std::string &id, const Record &record,
+                                  const std::string &replica)
+{
+    const auto found = m_limited.find(replica);
+    if (found == m_limited.end()) {
+        return;
+    }
+    LimitedReplica &limited = found->second;
+    const SteadyTime now = m_clock.now();
+    const auto told = limited.toldAt.find(record.front);
+    const auto disruption = m_disruptedAt.find(record.front);
+    const bool excused = told == limited.toldAt.end() || now < told->second + LimitReactionTime
+        || now < limited.since + LimitBindsAfter
+        || (disruption != m_disruptedAt.end()
+            && disruption->second + DisruptionMargin > told->second);
+    if (excused) {
+        return;
+    }
+    m_counts["requests to limited replicas that count"] += 1;
+    limited.arrivals.push_back(now);
+    while (limited.arrivals.front() + LimitWindow <= now) {
+        limited.arrivals.pop_front();
+    }
+    const std::chrono::duration<double> window = LimitWindow;
+    const double allowed = LimitTolerance * limited.perSecond * window.count() + LimitSlackRequests;
+    if (static_cast<double>(limited.arrivals.size()) > allowed) {
+        addViolation("LIMIT", id,
+                     absl::StrCat(limited.arrivals.size(), " requests in 4 s at replica ", replica,
+                                  ", which takes ", limited.perSecond, " a second"));
+    }
 }
 
 void InvariantChecker::recordLeavingAnswer(const Endpoint &front, const std::string &replica)
@@ -117,6 +174,7 @@
 {
     std::erase_if(m_leavingNotices,
                   [&](const auto &item) { return item.first.replica == replica; });
+    m_limited.erase(replica);
 }
 
 void InvariantChecker::checkDraining(const std::string &id, const Record &record,
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -5,6 +5,7 @@
 #include "net/http_types.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -79,6 +80,10 @@
     std::optional<ReceivedStream> recordResult(const std::string &id, const AttemptResult &result);
     /** A VM passed on an answer in which a replica says that it leaves. */
     void recordLeavingAnswer(const Endpoint &front, const std::string &replica);
+    /** A replica names a limit in its answers from now on, or none any more. */
+    void recordLimit(const std::string &replica, std::optional<double> perSecond);
+    /** A VM passed on an answer in which a replica names a limit. */
+    void recordLimitedAnswer(const Endpoint &front, const std::string &replica);
     /** A VM got a signal or was started; it may have forgotten what it knew. */
     void recordVmDisruption(const Endpoint &front);
     /** A replica started, perhaps under an id that was used before. */
@@ -113,6 +118,16 @@
         friend auto operator<=>(const LeavingNotice &, const LeavingNotice &) = default;
     };
 
+    /** A replica that names a limit, and the requests that count against it. */
+    struct LimitedReplica
+    {
+        double perSecond = 0;
+        SteadyTime since;
+        /** When each VM first passed on an answer with the limit. */
+        std::map<Endpoint, SteadyTime> toldAt;
+        std::deque<SteadyTime> arrivals;
+    };
+
     /** A request refused for its budget, and what counted against the budget at that time. */
     struct BudgetRefusal
     {
@@ -127,6 +142,7 @@
     void recordBudgetRefusal(const std::string &id, const Record &record);
     void checkRequestBody(const std::string &id, const Record &record, const HttpRequest &request);
     void checkDraining(const std::string &id, const Record &record, const std::string &replica);
+    void checkLimit(const std::string &id, const Record &record, const std::string &replica);
     void countTakenUp(const Record &record, const AttemptResult &result);
     std::optional<ReceivedStream> checkStream(const std::string &id, Record &record,
                                               const AttemptResult &result);
@@ -141,6 +157,7 @@
     std::vector<BudgetRefusal> m_budgetRefusals;
     std::map<LeavingNotice, SteadyTime> m_leavingNotices;
     std::map<Endpoint, SteadyTime> m_disruptedAt;
+    std::map<std::string, LimitedReplica> m_limited;
     std::map<std::string, int> m_counts;
     std::vector<std::string> m_violations;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -200,6 +200,9 @@
                               checker.recordRun(request, replica);
                           },
                           [&](const std::string &replica) { checker.recordReplicaStart(replica); },
+                          [&](const std::string &replica, std::optional<double> limit) {
+                              checker.recordLimit(replica, limit);
+                          },
                           0,
                           1,
                           options.seed};
--- a/standin/platform_replica.cpp
+++ b/standin/platform_replica.cpp
@@ -115,9 +115,11 @@
 {
     const std::string seal =
         hasSeal ? absl::StrCat("Replica-Seal: ", ReplicaAnswers::seal(id()), "\r\n") : "";
+    const std::string limit =
+        m_limit.has_value() ? absl::StrCat("Server-Limit: ", *m_limit, "\r\n") : "";
     return absl::StrCat("HTTP/1.1 ", status, "\r\nAttempt-Id: ", attempt, "\r\n", seal,
-                        m_leaving ? "Server-Leaving: 1\r\n" : "", "Replica-Load: ", m_running,
-                        ",0,", Slots, "\r\n");
+                        m_leaving ? "Server-Leaving: 1\r\n" : "", limit,
+                        "Replica-Load: ", m_running, ",0,", Slots, "\r\n");
 }
 
 std::string PlatformReplica::refusal(const std::string &status, const std::string &attempt) const
--- a/standin/platform_replica.h
+++ b/standin/platform_replica.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -80,6 +81,8 @@
     const std::string &version() const { return m_identity.version; }
     /** From now on, all answers say that the replica leaves. */
     void announceLeaving() { m_leaving = true; }
+    /** From now on, all answers name this limit in requests a second, or none. */
+    void nameLimit(std::optional<double> perSecond) { m_limit = perSecond; }
     /** Closes all connections and accepts no new ones. */
     void stop();
 
@@ -107,6 +110,7 @@
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> m_sockets;
     int m_running = 0;
     bool m_leaving = false;
+    std::optional<double> m_limit;
 };
 
 } // namespace boragepath
