--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -122,7 +122,10 @@
 {
     m_counts["answers of limited replicas"] += 1;
     const auto limited = m_limited.find(replica);
-    if (limited != m_limited.end()) {
+    const auto disruption = m_disruptedAt.find(front);
+    const bool mayBeLost =
+        disruption != m_disruptedAt.end() && m_clock.now() < disruption->second + DisruptionMargin;
+    if (limited != m_limited.end() && !mayBeLost) {
         limited->second.toldAt.try_emplace(front, m_clock.now());
     }
 }
@@ -137,11 +140,8 @@
     LimitedReplica &limited = found->second;
     const SteadyTime now = m_clock.now();
     const auto told = limited.toldAt.find(record.front);
-    const auto disruption = m_disruptedAt.find(record.front);
     const bool excused = told == limited.toldAt.end() || now < told->second + LimitReactionTime
-        || now < limited.since + LimitBindsAfter
-        || (disruption != m_disruptedAt.end()
-            && disruption->second + DisruptionMargin > told->second);
+        || now < limited.since + LimitBindsAfter;
     if (excused) {
         return;
     }
@@ -168,6 +168,9 @@
 void InvariantChecker::recordVmDisruption(const Endpoint &front)
 {
     m_disruptedAt[front] = m_clock.now();
+    for (auto &[replica, limited] : m_limited) {
+        limited.toldAt.erase(front);
+    }
 }
 
 void InvariantChecker::recordReplicaStart(const std::string &replica)
