Log which requests ask for the same, and whether a replica ended under one

The logs could not say which attempts were the same request, nor whether a replica's process had ended or only a connection broke.

After a connection broke off under a request, a new one tells whether anybody still listens: attempt lines say replica_ended. A connection that is accepted goes into the pool.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -12,6 +12,8 @@
 
 /** A live replica accepts a connection within milliseconds, even from another zone. */
 constexpr Milliseconds ConnectTimeout{350};
+/** A machine whose process has ended refuses a connection at once. A retry waits no longer. */
+constexpr Milliseconds EndCheckTimeout{100};
 /**
  * How long a repeatable call waits for further bytes before it is retried on another replica.
  * Streams wait StreamSilenceTimeout; other calls wait SilenceTimeoutFactor times the route's
@@ -211,12 +213,25 @@
     }
     connection = m_replicaConnections.makeConnection();
     m_counters.replicaConnections += 1;
-    if (!co_await connection->connect(dispatch.replica.endpoint, ConnectTimeout)) {
+    const ConnectResult result =
+        co_await connection->connect(dispatch.replica.endpoint, ConnectTimeout);
+    if (result != ConnectResult::Connected) {
         connection.reset();
     }
     co_return connection;
 }
 
+asio::awaitable<bool> CallForwarder::hasEnded(Endpoint replica)
+{
+    const std::shared_ptr<ReplicaConnection> connection = m_replicaConnections.makeConnection();
+    m_counters.replicaConnections += 1;
+    const ConnectResult result = co_await connection->connect(replica, EndCheckTimeout);
+    if (result == ConnectResult::Connected) {
+        m_replicaConnections.returnIdle(replica, connection, DefaultKeepAliveTimeout);
+    }
+    co_return result == ConnectResult::Refused;
+}
+
 SteadyTime CallForwarder::silenceDeadline(const Progress &progress) const
 {
     const CallDispatch &dispatch = progress.dispatch;
@@ -245,11 +260,24 @@
                                         DefaultKeepAliveTimeout);
         co_return AttemptResult::CallerGone;
     }
-    const auto timeLeft =
-        std::chrono::duration_cast<Milliseconds>(dispatch.deadline - m_clock.now());
-    if (timeLeft <= Milliseconds(0)) {
+    if (dispatch.deadline - m_clock.now() < Milliseconds(1)) {
         co_return AttemptResult::DeadlineExceeded;
     }
+    const AttemptResult attemptResult = co_await sendToReplica(progress, connection);
+    if (attemptResult == AttemptResult::Incomplete && connection->brokenByServer()) {
+        progress.observation.replicaEnded = co_await hasEnded(dispatch.replica.endpoint);
+    }
+    co_return attemptResult;
+}
+
+asio::awaitable<CallForwarder::AttemptResult>
+CallForwarder::sendToReplica(Progress &progress, std::shared_ptr<ReplicaConnection> connection)
+{
+    using Outcome = ReplicaObservation::Outcome;
+    const CallDispatch &dispatch = progress.dispatch;
+    progress.sentAt = m_clock.now();
+    const auto timeLeft =
+        std::chrono::duration_cast<Milliseconds>(dispatch.deadline - progress.sentAt);
     const std::weak_ptr<ReplicaConnection> weakConnection = connection;
     progress.channel.onDisconnect([weakConnection] {
         if (const auto open = weakConnection.lock()) {
@@ -267,7 +295,6 @@
     }
     const std::string head =
         progress.codec.requestHead(dispatch.replica, timeLeft, bodyBytes, progress.lastEventId);
-    progress.sentAt = m_clock.now();
     if (dispatch.sendBefore.has_value() && progress.sentAt >= *dispatch.sendBefore) {
         m_replicaConnections.returnIdle(dispatch.replica.endpoint, connection,
                                         DefaultKeepAliveTimeout);
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -132,7 +132,13 @@
     boost::asio::awaitable<bool> close(CallHandle handle, const CallCompletion &end);
     boost::asio::awaitable<std::shared_ptr<ReplicaConnection>>
     connect(const CallDispatch &dispatch);
+    /** Runs the attempt, and finds out whether the replica ended under it. */
     boost::asio::awaitable<AttemptResult> runOnReplica(Progress &progress);
+    /** Sends the request, and passes the answer on to the caller. */
+    boost::asio::awaitable<AttemptResult>
+    sendToReplica(Progress &progress, std::shared_ptr<ReplicaConnection> connection);
+    /** True if nobody listens at the address any more. */
+    boost::asio::awaitable<bool> hasEnded(Endpoint replica);
     boost::asio::awaitable<bool> readMatchingHead(Progress &progress, ReplicaConnection &connection,
                                                   ReplicaResponseHead &head);
     /** Tells the scheduler that the replica of this attempt leaves. */
--- a/backends/replica_connection.cpp
+++ b/backends/replica_connection.cpp
@@ -58,24 +58,26 @@
 
 ReplicaConnection::~ReplicaConnection() = default;
 
-asio::awaitable<bool> ReplicaConnection::connect(const Endpoint &endpoint, Milliseconds limit)
+asio::awaitable<ConnectResult> ReplicaConnection::connect(const Endpoint &endpoint,
+                                                          Milliseconds limit)
 {
     beast::error_code error;
     const auto address = asio::ip::make_address(endpoint.address, error);
     if (error) {
-        co_return false;
+        co_return ConnectResult::Failed;
     }
     beast::tcp_stream &stream = m_state->stream;
     stream.expires_after(limit);
     const tcp::endpoint target(address, endpoint.port);
     co_await stream.async_connect(target, redirect_error(use_awaitable, error));
     if (error) {
-        co_return false;
+        co_return error == asio::error::connection_refused ? ConnectResult::Refused
+                                                           : ConnectResult::Failed;
     }
     beast::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     stream.socket().set_option(UserTimeout(AcknowledgementTimeoutMillis), ignored);
-    co_return true;
+    co_return ConnectResult::Connected;
 }
 
 asio::awaitable<bool> ReplicaConnection::send(const std::string &head,
@@ -89,6 +91,7 @@
     beast::error_code error;
     m_state->stream.expires_at(until);
     co_await asio::async_write(m_state->stream, buffers, redirect_error(use_awaitable, error));
+    noteError(error);
     co_return !error;
 }
 
@@ -102,6 +105,7 @@
         m_state->stream.expires_at(until);
         co_await http::async_read_header(m_state->stream, m_state->buffer, *m_state->parser,
                                          redirect_error(use_awaitable, error));
+        noteError(error);
         const bool isInterim = !error && m_state->parser->get().result_int() / 100 == 1;
         if (error || (isInterim && interimHeads >= MaxInterimHeads)) {
             co_return false;
@@ -138,9 +142,19 @@
     if (error == http::error::need_buffer) {
         error = {};
     }
+    noteError(error);
     co_return !error;
 }
 
+void ReplicaConnection::noteError(const beast::error_code &error)
+{
+    const bool isEndOfStream = error == asio::error::eof || error == http::error::end_of_stream
+        || error == http::error::partial_message;
+    const bool isReset = error == asio::error::connection_reset || error == asio::error::broken_pipe
+        || error == asio::error::connection_aborted;
+    m_brokenByServer = m_brokenByServer || isEndOfStream || isReset;
+}
+
 bool ReplicaConnection::responseComplete() const
 {
     return m_state->parser.has_value() && m_state->parser->is_done();
--- a/backends/replica_connection.h
+++ b/backends/replica_connection.h
@@ -15,6 +15,13 @@
 
 namespace boragepath {
 
+/** What became of the attempt to open a connection. */
+enum class ConnectResult {
+    Connected,
+    Refused, ///< The machine answers, and nobody listens at the address.
+    Failed, ///< No answer in time, or another error.
+};
+
 /** One connection to a backend server; serves one request at a time. */
 class ReplicaConnection
 {
@@ -22,8 +29,8 @@
     explicit ReplicaConnection(const boost::asio::any_io_executor &executor);
     ~ReplicaConnection();
 
-    /** Connects within @p limit; false on failure. */
-    boost::asio::awaitable<bool> connect(const Endpoint &endpoint, Milliseconds limit);
+    /** Connects within @p limit. */
+    boost::asio::awaitable<ConnectResult> connect(const Endpoint &endpoint, Milliseconds limit);
     /** Sends a request head and its body; false if the connection failed. */
     boost::asio::awaitable<bool>
     send(const std::string &head, const std::vector<const std::string *> &body, SteadyTime until);
@@ -39,13 +46,19 @@
     void markUnusable() { m_unusable = true; }
     /** Closes the connection and ends all operations that wait on it. */
     void close();
+    /** The server has closed or reset the connection while something was read or written. */
+    bool brokenByServer() const { return m_brokenByServer; }
     /** False if the server has closed the connection or sent unrequested bytes. */
     bool isQuiet();
 
 private:
     struct State;
+
+    void noteError(const boost::system::error_code &error);
+
     std::unique_ptr<State> m_state;
     bool m_unusable = false;
+    bool m_brokenByServer = false;
 };
 
 /** Keeps connections to backend servers open between requests; to be used by one thread. */
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -16,6 +16,7 @@
 #include "core/ids.h"
 #include "core/logging.h"
 #include "core/lru_map.h"
+#include "core/request_fingerprint.h"
 
 #include <functional>
 #include <map>
@@ -41,6 +42,8 @@
 {
     /** Identifies the request in log lines, reservations and stored turns. */
     AttemptId attempt;
+    /** The same for all attempts that ask for the same thing. */
+    RequestFingerprint fingerprint;
     std::string host;
     /** Request path without the query string. */
     std::string path;
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -38,6 +38,8 @@
         .add("version", call.attemptedReplicas.back().entry.softwareVersion.value())
         .add("limit", limitText(call.attemptedReplicas.back().limit))
         .add("outcome", observation.failureReason)
+        .add("fingerprint", call.incoming.fingerprint.text())
+        .add("replica_ended", observation.replicaEnded)
         .add("attempt", call.dispatches)
         .add("events", observation.eventsForwarded)
         .info();
@@ -100,6 +102,7 @@
     LogLine line("call");
     line.add("request", call.incoming.attempt.value())
         .add("program", call.incoming.program.value())
+        .add("fingerprint", call.incoming.fingerprint.text())
         .add("outcome", completion.outcome)
         .add("status", static_cast<std::int64_t>(completion.status))
         .add("ms", toMillis(m_dependencies.clock.now() - call.openedAt));
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -73,6 +73,8 @@
     std::string failureReason = std::string();
     /** Another replica than the expected one answers at this address. */
     bool wrongReplica = false;
+    /** The connection broke off under the request, and nobody listens at the address any more. */
+    bool replicaEnded = false;
     std::optional<ReportedLoad> load;
     /** Time to the first event of a stream, or to the answer. */
     std::optional<Duration> latency;
--- /dev/null
+++ b/core/request_fingerprint.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace boragepath {
+
+/**
+ * Identifies requests that ask for the same thing, whoever sends them and under whatever attempt
+ * id. Two different requests have the same fingerprint with a negligible probability, and nobody
+ * who doesn't know the deployment's secret can make them so.
+ */
+struct RequestFingerprint
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    /** False for a request whose fingerprint was not computed. */
+    bool isKnown() const { return high != 0 || low != 0; }
+    /** 32 hexadecimal digits. */
+    std::string text() const;
+
+    friend auto operator<=>(const RequestFingerprint &, const RequestFingerprint &) = default;
+};
+
+/** Reads what RequestFingerprint::text() has written; a fingerprint that is not known on error. */
+RequestFingerprint parseRequestFingerprint(std::string_view text);
+
+/** What a request asks for. */
+struct RequestContent
+{
+    std::string_view method;
+    std::string_view host;
+    /** Path and query. */
+    std::string_view target;
+    /** As the caller sent it, without what was said in the conversation before. */
+    std::string_view body;
+};
+
+/** Computes fingerprints with SipHash; to be used by one thread. */
+class RequestHasher
+{
+public:
+    /** @param secret the same on all VMs of a deployment, and known to nobody else. */
+    explicit RequestHasher(const std::string &secret);
+    ~RequestHasher();
+    RequestHasher(const RequestHasher &) = delete;
+    RequestHasher &operator=(const RequestHasher &) = delete;
+
+    RequestFingerprint fingerprintOf(const RequestContent &content) const;
+
+private:
+    static constexpr std::size_t KeyBytes = 16;
+
+    struct Algorithm;
+    std::unique_ptr<Algorithm> m_algorithm;
+    std::array<unsigned char, KeyBytes> m_key{};
+};
+
+} // namespace boragepath
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -137,7 +137,7 @@
               [this](const peers::Envelope &envelope) { receive(envelope); })
     , m_replicaConnections(m_traffic.get_executor(), m_clock)
     , m_forwarder(m_control, m_scheduler, m_replicaConnections, m_clock, m_counters)
-    , m_front(m_traffic, m_settings.front, m_forwarder)
+    , m_front(m_traffic, m_settings.front, m_forwarder, m_settings.peerSecret)
     , m_directoryServer(m_traffic, internalServerLimits(),
                         [this](const HttpRequest &request, HttpResponder &responder) {
                             return serveAddresses(request, responder);
--- a/tests/support/platform_session.cpp
+++ b/tests/support/platform_session.cpp
@@ -148,7 +148,7 @@
                    m_limits, m_permits, ZoneId("z")})
     , m_replicaConnections(m_context.get_executor(), m_clock)
     , m_forwarder(m_context, m_scheduler, m_replicaConnections, m_clock, m_counters)
-    , m_front(m_context, FrontEndpoint, m_forwarder)
+    , m_front(m_context, FrontEndpoint, m_forwarder, "secret")
 {
     advanceStoreClock();
 }
