--- a/tests/support/platform_session.cpp
+++ b/tests/support/platform_session.cpp
@@ -96,24 +96,36 @@
 
 asio::awaitable<void> ScriptedReplica::accept()
 {
-    for (;;) {
-        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+    while (isRunning()) {
+        const auto socket =
+            std::make_shared<tcp::socket>(co_await m_acceptor.async_accept(asio::use_awaitable));
+        m_sockets.push_back(socket);
+        asio::co_spawn(m_acceptor.get_executor(), serve(socket), asio::detached);
+    }
+}
+
+void ScriptedReplica::end()
+{
+    m_acceptor.close();
+    for (const auto &item : m_sockets) {
+        if (const auto socket = item.lock()) {
+            socket->close();
+        }
     }
 }
 
-asio::awaitable<void> ScriptedReplica::serve(tcp::socket socket)
+asio::awaitable<void> ScriptedReplica::serve(std::shared_ptr<tcp::socket> socket)
 {
     std::string input;
     for (;;) {
         const std::size_t size = co_await asio::async_read_until(
-            socket, asio::dynamic_buffer(input), "\r\n\r\n", asio::use_awaitable);
+            *socket, asio::dynamic_buffer(input), "\r\n\r\n", asio::use_awaitable);
         const std::string head = input.substr(0, size);
         input.erase(0, size);
         const std::string length = fieldOf(head, "Content-Length");
         const std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
         if (input.size() < bodySize) {
-            co_await asio::async_read(socket, asio::dynamic_buffer(input),
+            co_await asio::async_read(*socket, asio::dynamic_buffer(input),
                                       asio::transfer_exactly(bodySize - input.size()),
                                       asio::use_awaitable);
         }
@@ -122,9 +134,13 @@
         heads.push_back(head);
         bodies.push_back(body);
         const ReplicaScript script = m_behaviour(head, body);
-        co_await asio::async_write(socket, asio::buffer(script.answer), asio::use_awaitable);
+        co_await asio::async_write(*socket, asio::buffer(script.answer), asio::use_awaitable);
+        if (script.end) {
+            end();
+            co_return;
+        }
         if (script.close) {
-            socket.close();
+            socket->close();
             co_return;
         }
     }
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -30,6 +30,8 @@
 {
     std::string answer;
     bool close = false;
+    /** The replica's process ends after them: all its connections break, and nobody listens. */
+    bool end = false;
 };
 
 /** What a replica answers to a request. */
@@ -61,12 +63,17 @@
     std::vector<std::string> heads;
     std::vector<std::string> bodies;
 
+    /** False once its process has ended. */
+    bool isRunning() const { return m_acceptor.is_open(); }
+
 private:
     boost::asio::awaitable<void> accept();
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serve(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+    void end();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     ReplicaBehaviour m_behaviour;
+    std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> m_sockets;
 };
 
 /** One VM on loopback with a store in memory, whose clock follows the system clock. */
