--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -303,6 +303,8 @@
         co_return AttemptResult::NotExecuted;
     }
     progress.possibleRuns += 1;
+    // An answer that is no stream arrives as a whole, so that its beginning cannot be seen.
+    progress.observation.atBeginning = dispatch.route->kind != RequestKind::Stream;
     m_counters.requestsUnderLimit += dispatch.replicaLimit.has_value() ? 1 : 0;
     ReplicaResponseHead reply;
     const bool sent = co_await connection->send(head, body, dispatch.deadline);
@@ -473,6 +475,7 @@
                                   const ReplicaResponseHead &head)
 {
     progress.isStream = true;
+    progress.observation.atBeginning = true;
     EventStreamParser scanner;
     std::string bytes;
     const SteadyTime startedAt = m_clock.now();
@@ -501,6 +504,7 @@
                 progress.observation.latency = firstAt - startedAt;
             }
             eventsFromReplica += 1;
+            progress.observation.atBeginning = false;
             progress.events += 1;
             if (event->id.has_value()) {
                 progress.lastEventId = event->id;
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -22,6 +22,8 @@
 /** An outage of the store lasts seconds; an earlier retry would fail again. */
 constexpr Milliseconds StoreRetryAfter{1'500};
 constexpr Milliseconds ConfigurationRetryAfter{300};
+/** A quarantined request is served again by new software of the replicas, if at all. */
+constexpr Milliseconds QuarantineRetryAfter{60'000};
 /** Replicas may decline a call, so up to this many are tried before it is refused. */
 constexpr int MaxDispatches = 4;
 /** Longest wait for a slot; callers abandon a stream after about two and a half seconds without an
@@ -51,6 +53,8 @@
     case CallRefusalReason::ReplicasLimited:
     case CallRefusalReason::DeadlineExceeded:
         return ReplicaRetryAfter;
+    case CallRefusalReason::Quarantined:
+        return QuarantineRetryAfter;
     case CallRefusalReason::NoRoute:
     case CallRefusalReason::BadCall:
     case CallRefusalReason::BudgetExhausted:
@@ -95,6 +99,8 @@
         return "version-unknown";
     case CallRefusalReason::StreamVersionGone:
         return "version-gone";
+    case CallRefusalReason::Quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
@@ -107,6 +113,9 @@
                    m_dependencies.permits, m_dependencies.vms})
 {
     m_dependencies.permits.onChange([this] { dispatchQueued(); });
+    m_dependencies.quarantine.onChange([this](const RequestFingerprint &request, bool quarantined) {
+        logQuarantine(request, quarantined);
+    });
 }
 
 bool CallScheduler::setRouteTable(std::shared_ptr<const RouteTable> table)
@@ -151,6 +160,10 @@
         refuse(handle, refusal->reason);
         return;
     }
+    if (!isAdmitted(opened)) {
+        refuse(handle, CallRefusalReason::Quarantined);
+        return;
+    }
     if (opened.route->kind == RequestKind::Stream && opened.incoming.resumption.has_value()) {
         findStreamOrigin(handle);
         return;
@@ -315,6 +328,10 @@
         refuse(handle, CallRefusalReason::DeadlineExceeded);
         return;
     }
+    if (!isAdmitted(call)) {
+        refuse(handle, CallRefusalReason::Quarantined);
+        return;
+    }
     if (m_queue.empty()) {
         m_placement.beginRound();
     }
@@ -403,6 +420,10 @@
     for (QueuedCall &item : queued) {
         Call &call = m_calls[item.handle];
         call.queueTime = now - item.queuedAt;
+        if (!isAdmitted(call)) {
+            refuse(item.handle, CallRefusalReason::Quarantined);
+            continue;
+        }
         const bool inTime = now < call.deadline;
         const ReplicaState *replica = inTime ? findReadyReplica(call) : nullptr;
         if (replica != nullptr) {
@@ -435,7 +456,8 @@
     if (result.replicaLimit.has_value()) {
         result.sendBefore = m_dependencies.permits.use(replica.fingerprint);
     }
-    call.attemptedReplicas.push_back({replica.entry, result.replicaLimit});
+    call.attemptedReplicas.push_back(
+        {replica.entry, result.replicaLimit, m_dependencies.clock.now()});
     call.currentReplica = replica.entry.id;
     call.lastReplica = replica.entry.id;
     call.placement = placementInputs(replica, m_dependencies.clock.now());
@@ -490,9 +512,32 @@
                          *observation.noLimitSince);
     }
     m_dependencies.replicas.endRequest(*call.currentReplica, observation);
+    if (observation.replicaEnded) {
+        noteReplicaCrash(call, observation);
+    }
     call.currentReplica.reset();
 }
 
+void CallScheduler::noteReplicaCrash(const Call &call, const ReplicaObservation &observation)
+{
+    const AttemptedReplica &attempted = call.attemptedReplicas.back();
+    const ReplicaFingerprint replica = fingerprintOf(incarnationOf(attempted.entry));
+    const ReplicaState *known = m_dependencies.replicas.find(*call.currentReplica);
+    const bool isPlanned = known == nullptr || known->fingerprint != replica || known->leaving
+        || known->entry.draining || known->removeAt.has_value();
+    if (isPlanned) {
+        return;
+    }
+    m_dependencies.quarantine.noteCrash(
+        call.incoming.identity,
+        {replica, attempted.dispatchedAt, m_dependencies.clock.now(), observation.atBeginning});
+}
+
+bool CallScheduler::isAdmitted(const Call &call)
+{
+    return m_dependencies.quarantine.admits(call.incoming.identity, call.incoming.attempt);
+}
+
 void CallScheduler::retryOnOtherReplica(CallHandle handle, const ReplicaObservation &observation,
                                         std::function<void(const CallDecision &)> done)
 {
@@ -562,6 +607,9 @@
     m_calls.erase(found);
     releaseReplica(call, ReplicaObservation());
     logCompletion(call, completion);
+    if (completion.answerComplete) {
+        m_dependencies.quarantine.noteAnswered(call.incoming.identity);
+    }
     if (call.budgetReserved) {
         const PromptLocation location{call.incoming.session,
                                       completion.answerComplete ? call.lastReplica : ReplicaId()};
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -6,6 +6,7 @@
 #include "control/object_locations.h"
 #include "control/replica_limits.h"
 #include "control/replica_table.h"
+#include "control/request_quarantine.h"
 #include "control/route_table.h"
 #include "control/send_permits.h"
 #include "control/store_health.h"
@@ -43,7 +44,7 @@
     /** Identifies the request in log lines, reservations and stored turns. */
     AttemptId attempt;
     /** The same for all attempts that ask for the same thing. */
-    RequestFingerprint fingerprint;
+    RequestIdentity identity;
     std::string host;
     /** Request path without the query string. */
     std::string path;
@@ -85,6 +86,8 @@
     StreamVersionUnknown,
     /** No replica of the version that began the stream is left. */
     StreamVersionGone,
+    /** Replica after replica has ended under requests for the same. */
+    Quarantined,
 };
 
 /** Name of the reason in log lines. */
@@ -162,6 +165,7 @@
         const StoreHealth &health;
         ReplicaLimits &limits;
         SendPermits &permits;
+        RequestQuarantine &quarantine;
         ZoneId zone;
     };
 
@@ -207,6 +211,7 @@
         ReplicaEntry entry;
         /** The limit that it had named by then. */
         std::optional<RequestRate> limit;
+        SteadyTime dispatchedAt;
     };
 
     struct Call
@@ -273,6 +278,11 @@
     void storeTurn(const Call &call, const CallCompletion &completion,
                    std::function<void(bool)> done);
     void releaseReplica(Call &call, const ReplicaObservation &observation);
+    /** The replica's process has ended under the call, and not as planned. */
+    void noteReplicaCrash(const Call &call, const ReplicaObservation &observation);
+    /** True if the call may be sent to a replica, as far as crashes are concerned. */
+    bool isAdmitted(const Call &call);
+    void logQuarantine(const RequestFingerprint &request, bool quarantined) const;
     void logLimit(const ReplicaEntry &replica, const AttemptId &attempt,
                   std::string_view outcome) const;
     void logFailedAttempt(const Call &call, const ReplicaObservation &observation) const;
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -30,6 +30,21 @@
         .info();
 }
 
+void CallScheduler::logQuarantine(const RequestFingerprint &request, bool quarantined) const
+{
+    const CrashEvidence *evidence = m_dependencies.quarantine.evidenceOf(request);
+    std::vector<std::string> crashes;
+    for (const RequestCrash &crash : evidence->crashes) {
+        crashes.push_back(absl::StrCat(crash.replica.value(), crash.atBeginning ? "!" : "", ":",
+                                       toMillis(m_dependencies.clock.now() - crash.at)));
+    }
+    LogLine("quarantine")
+        .add("fingerprint", request.text())
+        .add("replicas_ms_ago", absl::StrJoin(crashes, ","))
+        .add("outcome", quarantined ? "quarantined" : "released")
+        .info();
+}
+
 void CallScheduler::logFailedAttempt(const Call &call, const ReplicaObservation &observation) const
 {
     LogLine("attempt")
@@ -38,7 +53,8 @@
         .add("version", call.attemptedReplicas.back().entry.softwareVersion.value())
         .add("limit", limitText(call.attemptedReplicas.back().limit))
         .add("outcome", observation.failureReason)
-        .add("fingerprint", call.incoming.fingerprint.text())
+        .add("fingerprint", call.incoming.identity.request.text())
+        .add("target", call.incoming.identity.target.text())
         .add("replica_ended", observation.replicaEnded)
         .add("attempt", call.dispatches)
         .add("events", observation.eventsForwarded)
@@ -74,6 +90,7 @@
     case CallRefusalReason::NoConfiguration:
     case CallRefusalReason::BadCall:
     case CallRefusalReason::DeadlineExceeded:
+    case CallRefusalReason::Quarantined:
         break;
     }
 }
@@ -102,7 +119,8 @@
     LogLine line("call");
     line.add("request", call.incoming.attempt.value())
         .add("program", call.incoming.program.value())
-        .add("fingerprint", call.incoming.fingerprint.text())
+        .add("fingerprint", call.incoming.identity.request.text())
+        .add("target", call.incoming.identity.target.text())
         .add("outcome", completion.outcome)
         .add("status", static_cast<std::int64_t>(completion.status))
         .add("ms", toMillis(m_dependencies.clock.now() - call.openedAt));
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -75,6 +75,8 @@
     bool wrongReplica = false;
     /** The connection broke off under the request, and nobody listens at the address any more. */
     bool replicaEnded = false;
+    /** The replica had begun to run the request, and had brought no event of its answer. */
+    bool atBeginning = false;
     std::optional<ReportedLoad> load;
     /** Time to the first event of a stream, or to the answer. */
     std::optional<Duration> latency;
--- a/core/request_fingerprint.cpp
+++ b/core/request_fingerprint.cpp
@@ -92,4 +92,10 @@
     return result;
 }
 
+RequestIdentity RequestHasher::identityOf(const RequestContent &content) const
+{
+    return {fingerprintOf(content),
+            fingerprintOf({content.method, content.host, content.target, {}})};
+}
+
 } // namespace boragepath
--- a/core/request_fingerprint.h
+++ b/core/request_fingerprint.h
@@ -27,6 +27,20 @@
     friend auto operator<=>(const RequestFingerprint &, const RequestFingerprint &) = default;
 };
 
+/**
+ * What a request has in common with others that may have the same effect on a replica.
+ *
+ * Callers that ask for the same thing may send other bytes, for example with the conversation
+ * so far in the body; then only the target is the same.
+ */
+struct RequestIdentity
+{
+    /** Of method, host, target and body. */
+    RequestFingerprint request;
+    /** Of method, host and target. */
+    RequestFingerprint target;
+};
+
 /** Reads what RequestFingerprint::text() has written; a fingerprint that is not known on error. */
 RequestFingerprint parseRequestFingerprint(std::string_view text);
 
@@ -52,6 +66,7 @@
     RequestHasher &operator=(const RequestHasher &) = delete;
 
     RequestFingerprint fingerprintOf(const RequestContent &content) const;
+    RequestIdentity identityOf(const RequestContent &content) const;
 
 private:
     static constexpr std::size_t KeyBytes = 16;
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -31,6 +31,9 @@
 constexpr std::int64_t ConversationMemoryDivisor = 64;
 /** Limits of replicas that one datagram of gossip tells of; each takes some 15 bytes. */
 constexpr std::size_t MaxLimitsPerDatagram = 8;
+/** Requests under which replicas have ended that one datagram of gossip tells of; each takes some
+ * 50 bytes. */
+constexpr std::size_t MaxCrashNewsPerDatagram = 12;
 constexpr std::int64_t BytesPerMegabyte = 1'048'576;
 constexpr unsigned Unavailable = 503;
 constexpr unsigned NotFound = 404;
@@ -124,8 +127,13 @@
               sendPermitNote(to, note);
           },
           seed)
+    , m_quarantine(m_clock, m_timers, m_vms,
+                   [this](const Endpoint &to, const std::vector<peers::RequestCrashNews> &news) {
+                       sendCrashNews(to, news);
+                   })
+    , m_quarantineRows(m_clock, m_timers, m_store, m_vms, m_quarantine, seed)
     , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_streams, m_vms,
-                   m_health, m_limits, m_permits, m_settings.zone})
+                   m_health, m_limits, m_permits, m_quarantine, m_settings.zone})
     , m_sweeper(
           m_clock, m_timers, m_store, m_vms,
           [this] { return maxTurnRetention(m_scheduler.routes()); }, seed)
@@ -169,11 +177,13 @@
     m_registry.start();
     m_membership.addToGossip([this](peers::Envelope &envelope) {
         envelope.__set_replicaLimits(m_limits.takeForGossip(MaxLimitsPerDatagram));
+        envelope.__set_requestCrashes(m_quarantine.takeForGossip(MaxCrashNewsPerDatagram));
     });
     m_membership.start();
     requestRegistryCopy();
     closeExpiredConnections();
     m_sweeper.start();
+    m_quarantineRows.start();
     std::thread traffic([this] { m_traffic.run(); });
     m_control.run();
     m_trafficWork.reset();
@@ -312,6 +322,14 @@
     sendToPeer(to, envelope);
 }
 
+void PlatformDaemon::sendCrashNews(const Endpoint &to,
+                                   const std::vector<peers::RequestCrashNews> &news)
+{
+    peers::Envelope envelope;
+    envelope.__set_requestCrashes(news);
+    sendToPeer(to, envelope);
+}
+
 void PlatformDaemon::sendToPeer(const Endpoint &to, peers::Envelope envelope)
 {
     envelope.vm = m_settings.vm.value();
@@ -331,6 +349,9 @@
     if (envelope.__isset.replicaLimits) {
         m_limits.receive(envelope.replicaLimits);
     }
+    if (envelope.__isset.requestCrashes) {
+        m_quarantine.receive(envelope.requestCrashes);
+    }
     if (envelope.__isset.sendPermit && sender.ok()) {
         m_permits.receive(*sender, envelope.sendPermit);
     }
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -5,6 +5,7 @@
 #include "control/call_scheduler.h"
 #include "control/ledger_relay.h"
 #include "control/program_ledger.h"
+#include "control/quarantine_rows.h"
 #include "control/replica_table.h"
 #include "control/row_sweeper.h"
 #include "control/store_health.h"
@@ -74,6 +75,7 @@
     void sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note);
     void sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note);
     void sendPermitNote(const Endpoint &to, const peers::SendPermitNote &note);
+    void sendCrashNews(const Endpoint &to, const std::vector<peers::RequestCrashNews> &news);
     /** Adds the sender to an envelope and sends it. */
     void sendToPeer(const Endpoint &to, peers::Envelope envelope);
     void receive(const peers::Envelope &envelope);
@@ -107,6 +109,8 @@
     StreamOrigins m_streams;
     ReplicaLimits m_limits;
     SendPermits m_permits;
+    RequestQuarantine m_quarantine;
+    QuarantineRows m_quarantineRows;
     CallScheduler m_scheduler;
     RowSweeper m_sweeper;
     platform::RegistryReader m_registry;
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -2904,6 +2904,332 @@
 }
 
 
+RequestCrash::~RequestCrash() noexcept {
+}
+
+
+void RequestCrash::__set_replica(const int64_t val) {
+  this->replica = val;
+}
+
+void RequestCrash::__set_ageMillis(const int32_t val) {
+  this->ageMillis = val;
+}
+
+void RequestCrash::__set_atBeginning(const bool val) {
+  this->atBeginning = val;
+}
+
+void RequestCrash::__set_sentAgeMillis(const int32_t val) {
+  this->sentAgeMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const RequestCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RequestCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replica);
+          this->__isset.replica = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->atBeginning);
+          this->__isset.atBeginning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sentAgeMillis);
+          this->__isset.sentAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RequestCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RequestCrash");
+
+  xfer += oprot->writeFieldBegin("replica", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->replica);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("atBeginning", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->atBeginning);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentAgeMillis", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->sentAgeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RequestCrash &a, RequestCrash &b) {
+  using ::std::swap;
+  swap(a.replica, b.replica);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.atBeginning, b.atBeginning);
+  swap(a.sentAgeMillis, b.sentAgeMillis);
+  swap(a.__isset, b.__isset);
+}
+
+RequestCrash::RequestCrash(const RequestCrash& other62) noexcept {
+  replica = other62.replica;
+  ageMillis = other62.ageMillis;
+  atBeginning = other62.atBeginning;
+  sentAgeMillis = other62.sentAgeMillis;
+  __isset = other62.__isset;
+}
+RequestCrash& RequestCrash::operator=(const RequestCrash& other63) noexcept {
+  replica = other63.replica;
+  ageMillis = other63.ageMillis;
+  atBeginning = other63.atBeginning;
+  sentAgeMillis = other63.sentAgeMillis;
+  __isset = other63.__isset;
+  return *this;
+}
+void RequestCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RequestCrash(";
+  out << "replica=" << to_string(replica);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ", " << "atBeginning=" << to_string(atBeginning);
+  out << ", " << "sentAgeMillis=" << to_string(sentAgeMillis);
+  out << ")";
+}
+
+
+RequestCrashNews::~RequestCrashNews() noexcept {
+}
+
+
+void RequestCrashNews::__set_high(const int64_t val) {
+  this->high = val;
+}
+
+void RequestCrashNews::__set_low(const int64_t val) {
+  this->low = val;
+}
+
+void RequestCrashNews::__set_crashes(const std::vector<RequestCrash> & val) {
+  this->crashes = val;
+}
+
+void RequestCrashNews::__set_answeredAgeMillis(const int32_t val) {
+  this->answeredAgeMillis = val;
+__isset.answeredAgeMillis = true;
+}
+std::ostream& operator<<(std::ostream& out, const RequestCrashNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RequestCrashNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->high);
+          this->__isset.high = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->low);
+          this->__isset.low = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->crashes.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += this->crashes[_i68].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answeredAgeMillis);
+          this->__isset.answeredAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RequestCrashNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RequestCrashNews");
+
+  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->high);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->low);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<RequestCrash> ::const_iterator _iter69;
+    for (_iter69 = this->crashes.begin(); _iter69 != this->crashes.end(); ++_iter69)
+    {
+      xfer += (*_iter69).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.answeredAgeMillis) {
+    xfer += oprot->writeFieldBegin("answeredAgeMillis", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->answeredAgeMillis);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RequestCrashNews &a, RequestCrashNews &b) {
+  using ::std::swap;
+  swap(a.high, b.high);
+  swap(a.low, b.low);
+  swap(a.crashes, b.crashes);
+  swap(a.answeredAgeMillis, b.answeredAgeMillis);
+  swap(a.__isset, b.__isset);
+}
+
+RequestCrashNews::RequestCrashNews(const RequestCrashNews& other70) {
+  high = other70.high;
+  low = other70.low;
+  crashes = other70.crashes;
+  answeredAgeMillis = other70.answeredAgeMillis;
+  __isset = other70.__isset;
+}
+RequestCrashNews& RequestCrashNews::operator=(const RequestCrashNews& other71) {
+  high = other71.high;
+  low = other71.low;
+  crashes = other71.crashes;
+  answeredAgeMillis = other71.answeredAgeMillis;
+  __isset = other71.__isset;
+  return *this;
+}
+void RequestCrashNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RequestCrashNews(";
+  out << "high=" << to_string(high);
+  out << ", " << "low=" << to_string(low);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "answeredAgeMillis="; (__isset.answeredAgeMillis ? (out << to_string(answeredAgeMillis)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -3000,6 +3326,11 @@
   this->replicaLimits = val;
 __isset.replicaLimits = true;
 }
+
+void Envelope::__set_requestCrashes(const std::vector<RequestCrashNews> & val) {
+  this->requestCrashes = val;
+__isset.requestCrashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -3056,14 +3387,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->permitRequests.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->permitRequests.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->permitRequests[_i66].read(iprot);
+              xfer += this->permitRequests[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3076,14 +3407,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitAnswers.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->permitAnswers.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->permitAnswers.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->permitAnswers[_i71].read(iprot);
+              xfer += this->permitAnswers[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3096,14 +3427,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReleases.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->permitReleases.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->permitReleases.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->permitReleases[_i76].read(iprot);
+              xfer += this->permitReleases[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3116,14 +3447,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitsReleased.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->permitsReleased.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->permitsReleased.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->permitsReleased[_i81].read(iprot);
+              xfer += this->permitsReleased[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3144,14 +3475,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmNews.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->vmNews.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->vmNews.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->vmNews[_i86].read(iprot);
+              xfer += this->vmNews[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3204,14 +3535,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmHeartbeats.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->vmHeartbeats.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->vmHeartbeats.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->vmHeartbeats[_i91].read(iprot);
+              xfer += this->vmHeartbeats[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3224,14 +3555,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknownVms.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->unknownVms.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->unknownVms.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += iprot->readI64(this->unknownVms[_i96]);
+              xfer += iprot->readI64(this->unknownVms[_i106]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3260,14 +3591,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicaLimits.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->replicaLimits.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->replicaLimits.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->replicaLimits[_i101].read(iprot);
+              xfer += this->replicaLimits[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3276,6 +3607,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requestCrashes.clear();
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->requestCrashes.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
+            {
+              xfer += this->requestCrashes[_i116].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requestCrashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3310,10 +3661,10 @@
     xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-      std::vector<PermitRequest> ::const_iterator _iter102;
-      for (_iter102 = this->permitRequests.begin(); _iter102 != this->permitRequests.end(); ++_iter102)
+      std::vector<PermitRequest> ::const_iterator _iter117;
+      for (_iter117 = this->permitRequests.begin(); _iter117 != this->permitRequests.end(); ++_iter117)
       {
-        xfer += (*_iter102).write(oprot);
+        xfer += (*_iter117).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3323,10 +3674,10 @@
     xfer += oprot->writeFieldBegin("permitAnswers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitAnswers.size()));
-      std::vector<PermitAnswer> ::const_iterator _iter103;
-      for (_iter103 = this->permitAnswers.begin(); _iter103 != this->permitAnswers.end(); ++_iter103)
+      std::vector<PermitAnswer> ::const_iterator _iter118;
+      for (_iter118 = this->permitAnswers.begin(); _iter118 != this->permitAnswers.end(); ++_iter118)
       {
-        xfer += (*_iter103).write(oprot);
+        xfer += (*_iter118).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3336,10 +3687,10 @@
     xfer += oprot->writeFieldBegin("permitReleases", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReleases.size()));
-      std::vector<PermitRelease> ::const_iterator _iter104;
-      for (_iter104 = this->permitReleases.begin(); _iter104 != this->permitReleases.end(); ++_iter104)
+      std::vector<PermitRelease> ::const_iterator _iter119;
+      for (_iter119 = this->permitReleases.begin(); _iter119 != this->permitReleases.end(); ++_iter119)
       {
-        xfer += (*_iter104).write(oprot);
+        xfer += (*_iter119).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3349,10 +3700,10 @@
     xfer += oprot->writeFieldBegin("permitsReleased", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitsReleased.size()));
-      std::vector<PermitReleased> ::const_iterator _iter105;
-      for (_iter105 = this->permitsReleased.begin(); _iter105 != this->permitsReleased.end(); ++_iter105)
+      std::vector<PermitReleased> ::const_iterator _iter120;
+      for (_iter120 = this->permitsReleased.begin(); _iter120 != this->permitsReleased.end(); ++_iter120)
       {
-        xfer += (*_iter105).write(oprot);
+        xfer += (*_iter120).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3367,10 +3718,10 @@
     xfer += oprot->writeFieldBegin("vmNews", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmNews.size()));
-      std::vector<VmNews> ::const_iterator _iter106;
-      for (_iter106 = this->vmNews.begin(); _iter106 != this->vmNews.end(); ++_iter106)
+      std::vector<VmNews> ::const_iterator _iter121;
+      for (_iter121 = this->vmNews.begin(); _iter121 != this->vmNews.end(); ++_iter121)
       {
-        xfer += (*_iter106).write(oprot);
+        xfer += (*_iter121).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3405,10 +3756,10 @@
     xfer += oprot->writeFieldBegin("vmHeartbeats", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmHeartbeats.size()));
-      std::vector<VmHeartbeat> ::const_iterator _iter107;
-      for (_iter107 = this->vmHeartbeats.begin(); _iter107 != this->vmHeartbeats.end(); ++_iter107)
+      std::vector<VmHeartbeat> ::const_iterator _iter122;
+      for (_iter122 = this->vmHeartbeats.begin(); _iter122 != this->vmHeartbeats.end(); ++_iter122)
       {
-        xfer += (*_iter107).write(oprot);
+        xfer += (*_iter122).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3418,10 +3769,10 @@
     xfer += oprot->writeFieldBegin("unknownVms", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownVms.size()));
-      std::vector<int64_t> ::const_iterator _iter108;
-      for (_iter108 = this->unknownVms.begin(); _iter108 != this->unknownVms.end(); ++_iter108)
+      std::vector<int64_t> ::const_iterator _iter123;
+      for (_iter123 = this->unknownVms.begin(); _iter123 != this->unknownVms.end(); ++_iter123)
       {
-        xfer += oprot->writeI64((*_iter108));
+        xfer += oprot->writeI64((*_iter123));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3441,10 +3792,23 @@
     xfer += oprot->writeFieldBegin("replicaLimits", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicaLimits.size()));
-      std::vector<ReplicaLimitNews> ::const_iterator _iter109;
-      for (_iter109 = this->replicaLimits.begin(); _iter109 != this->replicaLimits.end(); ++_iter109)
+      std::vector<ReplicaLimitNews> ::const_iterator _iter124;
+      for (_iter124 = this->replicaLimits.begin(); _iter124 != this->replicaLimits.end(); ++_iter124)
+      {
+        xfer += (*_iter124).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requestCrashes) {
+    xfer += oprot->writeFieldBegin("requestCrashes", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requestCrashes.size()));
+      std::vector<RequestCrashNews> ::const_iterator _iter125;
+      for (_iter125 = this->requestCrashes.begin(); _iter125 != this->requestCrashes.end(); ++_iter125)
       {
-        xfer += (*_iter109).write(oprot);
+        xfer += (*_iter125).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3476,52 +3840,55 @@
   swap(a.streamOrigin, b.streamOrigin);
   swap(a.sendPermit, b.sendPermit);
   swap(a.replicaLimits, b.replicaLimits);
+  swap(a.requestCrashes, b.requestCrashes);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other110) {
-  vm = other110.vm;
-  fence = other110.fence;
-  probe = other110.probe;
-  permitRequests = other110.permitRequests;
-  permitAnswers = other110.permitAnswers;
-  permitReleases = other110.permitReleases;
-  permitsReleased = other110.permitsReleased;
-  heldPrograms = other110.heldPrograms;
-  vmNews = other110.vmNews;
-  wantsNews = other110.wantsNews;
-  ledgerNote = other110.ledgerNote;
-  replyTo = other110.replyTo;
-  wantsRegistry = other110.wantsRegistry;
-  registryCopy = other110.registryCopy;
-  vmHeartbeats = other110.vmHeartbeats;
-  unknownVms = other110.unknownVms;
-  streamOrigin = other110.streamOrigin;
-  sendPermit = other110.sendPermit;
-  replicaLimits = other110.replicaLimits;
-  __isset = other110.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other111) {
-  vm = other111.vm;
-  fence = other111.fence;
-  probe = other111.probe;
-  permitRequests = other111.permitRequests;
-  permitAnswers = other111.permitAnswers;
-  permitReleases = other111.permitReleases;
-  permitsReleased = other111.permitsReleased;
-  heldPrograms = other111.heldPrograms;
-  vmNews = other111.vmNews;
-  wantsNews = other111.wantsNews;
-  ledgerNote = other111.ledgerNote;
-  replyTo = other111.replyTo;
-  wantsRegistry = other111.wantsRegistry;
-  registryCopy = other111.registryCopy;
-  vmHeartbeats = other111.vmHeartbeats;
-  unknownVms = other111.unknownVms;
-  streamOrigin = other111.streamOrigin;
-  sendPermit = other111.sendPermit;
-  replicaLimits = other111.replicaLimits;
-  __isset = other111.__isset;
+Envelope::Envelope(const Envelope& other126) {
+  vm = other126.vm;
+  fence = other126.fence;
+  probe = other126.probe;
+  permitRequests = other126.permitRequests;
+  permitAnswers = other126.permitAnswers;
+  permitReleases = other126.permitReleases;
+  permitsReleased = other126.permitsReleased;
+  heldPrograms = other126.heldPrograms;
+  vmNews = other126.vmNews;
+  wantsNews = other126.wantsNews;
+  ledgerNote = other126.ledgerNote;
+  replyTo = other126.replyTo;
+  wantsRegistry = other126.wantsRegistry;
+  registryCopy = other126.registryCopy;
+  vmHeartbeats = other126.vmHeartbeats;
+  unknownVms = other126.unknownVms;
+  streamOrigin = other126.streamOrigin;
+  sendPermit = other126.sendPermit;
+  replicaLimits = other126.replicaLimits;
+  requestCrashes = other126.requestCrashes;
+  __isset = other126.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other127) {
+  vm = other127.vm;
+  fence = other127.fence;
+  probe = other127.probe;
+  permitRequests = other127.permitRequests;
+  permitAnswers = other127.permitAnswers;
+  permitReleases = other127.permitReleases;
+  permitsReleased = other127.permitsReleased;
+  heldPrograms = other127.heldPrograms;
+  vmNews = other127.vmNews;
+  wantsNews = other127.wantsNews;
+  ledgerNote = other127.ledgerNote;
+  replyTo = other127.replyTo;
+  wantsRegistry = other127.wantsRegistry;
+  registryCopy = other127.registryCopy;
+  vmHeartbeats = other127.vmHeartbeats;
+  unknownVms = other127.unknownVms;
+  streamOrigin = other127.streamOrigin;
+  sendPermit = other127.sendPermit;
+  replicaLimits = other127.replicaLimits;
+  requestCrashes = other127.requestCrashes;
+  __isset = other127.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -3546,6 +3913,7 @@
   out << ", " << "streamOrigin="; (__isset.streamOrigin ? (out << to_string(streamOrigin)) : (out << "<null>"));
   out << ", " << "sendPermit="; (__isset.sendPermit ? (out << to_string(sendPermit)) : (out << "<null>"));
   out << ", " << "replicaLimits="; (__isset.replicaLimits ? (out << to_string(replicaLimits)) : (out << "<null>"));
+  out << ", " << "requestCrashes="; (__isset.requestCrashes ? (out << to_string(requestCrashes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -136,6 +136,10 @@
 
 class SendPermitNote;
 
+class RequestCrash;
+
+class RequestCrashNews;
+
 class Envelope;
 
 typedef struct _Suspicion__isset {
@@ -1235,8 +1239,137 @@
 
 std::ostream& operator<<(std::ostream& out, const SendPermitNote& obj);
 
+typedef struct _RequestCrash__isset {
+  _RequestCrash__isset() : replica(false), ageMillis(false), atBeginning(false), sentAgeMillis(false) {}
+  bool replica :1;
+  bool ageMillis :1;
+  bool atBeginning :1;
+  bool sentAgeMillis :1;
+} _RequestCrash__isset;
+
+class RequestCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  RequestCrash(const RequestCrash&) noexcept;
+  RequestCrash& operator=(const RequestCrash&) noexcept;
+  RequestCrash() noexcept
+               : replica(0),
+                 ageMillis(0),
+                 atBeginning(0),
+                 sentAgeMillis(0) {
+  }
+
+  virtual ~RequestCrash() noexcept;
+  int64_t replica;
+  int32_t ageMillis;
+  bool atBeginning;
+  int32_t sentAgeMillis;
+
+  _RequestCrash__isset __isset;
+
+  void __set_replica(const int64_t val);
+
+  void __set_ageMillis(const int32_t val);
+
+  void __set_atBeginning(const bool val);
+
+  void __set_sentAgeMillis(const int32_t val);
+
+  bool operator == (const RequestCrash & rhs) const
+  {
+    if (!(replica == rhs.replica))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    if (!(atBeginning == rhs.atBeginning))
+      return false;
+    if (!(sentAgeMillis == rhs.sentAgeMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const RequestCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RequestCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RequestCrash &a, RequestCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const RequestCrash& obj);
+
+typedef struct _RequestCrashNews__isset {
+  _RequestCrashNews__isset() : high(false), low(false), crashes(false), answeredAgeMillis(false) {}
+  bool high :1;
+  bool low :1;
+  bool crashes :1;
+  bool answeredAgeMillis :1;
+} _RequestCrashNews__isset;
+
+class RequestCrashNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  RequestCrashNews(const RequestCrashNews&);
+  RequestCrashNews& operator=(const RequestCrashNews&);
+  RequestCrashNews() noexcept
+                   : high(0),
+                     low(0),
+                     answeredAgeMillis(0) {
+  }
+
+  virtual ~RequestCrashNews() noexcept;
+  int64_t high;
+  int64_t low;
+  std::vector<RequestCrash>  crashes;
+  int32_t answeredAgeMillis;
+
+  _RequestCrashNews__isset __isset;
+
+  void __set_high(const int64_t val);
+
+  void __set_low(const int64_t val);
+
+  void __set_crashes(const std::vector<RequestCrash> & val);
+
+  void __set_answeredAgeMillis(const int32_t val);
+
+  bool operator == (const RequestCrashNews & rhs) const
+  {
+    if (!(high == rhs.high))
+      return false;
+    if (!(low == rhs.low))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (__isset.answeredAgeMillis != rhs.__isset.answeredAgeMillis)
+      return false;
+    else if (__isset.answeredAgeMillis && !(answeredAgeMillis == rhs.answeredAgeMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const RequestCrashNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RequestCrashNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RequestCrashNews &a, RequestCrashNews &b);
+
+std::ostream& operator<<(std::ostream& out, const RequestCrashNews& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -1256,6 +1389,7 @@
   bool streamOrigin :1;
   bool sendPermit :1;
   bool replicaLimits :1;
+  bool requestCrashes :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1291,6 +1425,7 @@
   StreamOriginNote streamOrigin;
   SendPermitNote sendPermit;
   std::vector<ReplicaLimitNews>  replicaLimits;
+  std::vector<RequestCrashNews>  requestCrashes;
 
   _Envelope__isset __isset;
 
@@ -1332,6 +1467,8 @@
 
   void __set_replicaLimits(const std::vector<ReplicaLimitNews> & val);
 
+  void __set_requestCrashes(const std::vector<RequestCrashNews> & val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1406,6 +1543,10 @@
       return false;
     else if (__isset.replicaLimits && !(replicaLimits == rhs.replicaLimits))
       return false;
+    if (__isset.requestCrashes != rhs.__isset.requestCrashes)
+      return false;
+    else if (__isset.requestCrashes && !(requestCrashes == rhs.requestCrashes))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -225,6 +225,28 @@
     5: i32 delayMillis;
 }
 
+// A replica whose process ended while a request was in progress there.
+struct RequestCrash {
+    // Fingerprint of the incarnation of the replica.
+    1: i64 replica;
+    // Time since it ended, in milliseconds.
+    2: i32 ageMillis;
+    // The request had only begun to run, as far as can be seen.
+    3: bool atBeginning;
+    // Time since the request had been sent there, in milliseconds.
+    4: i32 sentAgeMillis;
+}
+
+// What the sender knows about a request under which replicas have ended.
+struct RequestCrashNews {
+    // The two halves of the request's fingerprint.
+    1: i64 high;
+    2: i64 low;
+    3: list<RequestCrash> crashes;
+    // Time since it was last answered as complete, in milliseconds; earlier crashes do not count.
+    4: optional i32 answeredAgeMillis;
+}
+
 // One datagram.
 struct Envelope {
     1: string vm;
@@ -251,4 +273,5 @@
     17: optional StreamOriginNote streamOrigin;
     18: optional SendPermitNote sendPermit;
     19: optional list<ReplicaLimitNews> replicaLimits;
+    20: optional list<RequestCrashNews> requestCrashes;
 }
--- a/tests/control/call_queue_order_test.cpp
+++ b/tests/control/call_queue_order_test.cpp
@@ -133,8 +133,9 @@
         , m_streams(m_timers, m_replicas, m_vms, nullptr)
         , m_limits(m_clock)
         , m_permits(m_clock, m_timers, m_limits, m_vms, nullptr, 1)
+        , m_quarantine(m_clock, m_timers, m_vms, nullptr)
         , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_vms, m_health,
-                       m_limits, m_permits, ZoneId("z")})
+                       m_limits, m_permits, m_quarantine, ZoneId("z")})
     {
         auto table = std::make_shared<RouteTable>();
         table->version = ConfigurationVersion(1);
@@ -218,6 +219,7 @@
     StreamOrigins m_streams;
     ReplicaLimits m_limits;
     SendPermits m_permits;
+    RequestQuarantine m_quarantine;
     CallScheduler m_scheduler;
     std::map<std::string, CallHandle> m_handles;
     std::map<std::string, ReplicaId> m_replicaOf;
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -71,8 +71,9 @@
                   fleet.send(index, to, note);
               },
               index)
+        , quarantine(fleet.m_clock, fleet.m_timers, directory, nullptr)
         , scheduler({fleet.m_clock, fleet.m_timers, replicas, relay, turns, streams, directory,
-                     health, limits, permits, ZoneId("z")})
+                     health, limits, permits, quarantine, ZoneId("z")})
     {
         scheduler.setRouteTable(routeTable(fleet.m_setup.hasPrompts));
     }
@@ -87,6 +88,7 @@
     StreamOrigins streams;
     ReplicaLimits limits;
     SendPermits permits;
+    RequestQuarantine quarantine;
     CallScheduler scheduler;
 };
 
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -109,6 +109,7 @@
     StreamOrigins m_streams;
     ReplicaLimits m_limits;
     SendPermits m_permits;
+    RequestQuarantine m_quarantine;
     CallScheduler m_scheduler;
     ForwardCounters m_counters;
     ReplicaConnectionPool m_replicaConnections;
