A replica that has ended gets no requests until its next start

What callers saw: calls refused for lack of a replica while others had room.

Cause: each VM found out for itself that a replica had ended, and tried it again after .3 s; four such tries, and the call was refused.

Fix: a replica whose process has ended, as found by the end of a request there, is left out of placement until its next incarnation is registered, 10 s at most. News of crashes tells the other VMs. A connection that is refused without a request in progress still counts as a failure only.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -116,6 +116,8 @@
     m_dependencies.quarantine.onChange([this](const RequestFingerprint &request, bool quarantined) {
         logQuarantine(request, quarantined);
     });
+    m_dependencies.quarantine.onReplicaEnded(
+        [this](const ReplicaFingerprint &replica) { m_dependencies.replicas.markEnded(replica); });
 }
 
 bool CallScheduler::setRouteTable(std::shared_ptr<const RouteTable> table)
@@ -522,6 +524,7 @@
 {
     const AttemptedReplica &attempted = call.attemptedReplicas.back();
     const ReplicaFingerprint replica = fingerprintOf(incarnationOf(attempted.entry));
+    m_dependencies.replicas.markEnded(replica);
     const ReplicaState *known = m_dependencies.replicas.find(*call.currentReplica);
     const bool isPlanned = known == nullptr || known->fingerprint != replica || known->leaving
         || known->entry.draining || known->removeAt.has_value();
--- a/control/limited_placement.cpp
+++ b/control/limited_placement.cpp
@@ -128,7 +128,7 @@
 {
     const SteadyTime now = m_dependencies.clock.now();
     std::optional<SteadyTime> earliest;
-    for (const ReplicaState *replica : eligibleReplicas(m_dependencies.replicas, request)) {
+    for (const ReplicaState *replica : eligibleReplicas(m_dependencies.replicas, request, now)) {
         const SendOutlook outlook = m_dependencies.permits.outlook(replica->fingerprint);
         const bool needsWait =
             outlook.kind == SendOutlook::Kind::Closed || outlook.kind == SendOutlook::Kind::Awaited;
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -47,6 +47,8 @@
 constexpr double CrossZoneCost = 0.15;
 /** Cost of a replica that is avoided, in utilization that another one may have more. */
 constexpr double AvoidanceCost = 0.25;
+/** A replica that has ended is registered as another incarnation when it is back. */
+constexpr Milliseconds EndedReplicaTime{10'000};
 /** Longer than a caller goes on with a stream, all its tries included. */
 constexpr Milliseconds MaxStreamLifetime{15'000};
 /** After a longer time between two reads, replicas may have come and gone unseen. */
@@ -215,6 +217,18 @@
     return true;
 }
 
+bool ReplicaTable::markEnded(const ReplicaFingerprint &replica)
+{
+    const SteadyTime now = m_clock.now();
+    for (auto &[id, state] : m_replicas) {
+        if (state.fingerprint == replica && now >= state.endedUntil) {
+            state.endedUntil = now + EndedReplicaTime;
+            return true;
+        }
+    }
+    return false;
+}
+
 void ReplicaTable::remove(const ReplicaId &id, SteadyTime registryCompleteAt)
 {
     const auto found = m_replicas.find(id);
@@ -445,11 +459,11 @@
 } // namespace
 
 std::vector<const ReplicaState *> eligibleReplicas(const ReplicaTable &table,
-                                                   const PlacementRequest &request)
+                                                   const PlacementRequest &request, SteadyTime now)
 {
     std::vector<const ReplicaState *> replicas = table.usable(request.service);
     std::erase_if(replicas, [&](const ReplicaState *replica) {
-        return request.excludedReplicas.contains(replica->entry.id)
+        return now < replica->endedUntil || request.excludedReplicas.contains(replica->entry.id)
             || (request.requiredVersion.has_value()
                 && replica->entry.softwareVersion != *request.requiredVersion);
     });
@@ -459,7 +473,7 @@
 const ReplicaState *chooseReplica(const ReplicaTable &table, const PlacementRequest &request,
                                   SteadyTime now)
 {
-    std::vector<const ReplicaState *> candidates = eligibleReplicas(table, request);
+    std::vector<const ReplicaState *> candidates = eligibleReplicas(table, request, now);
     std::erase_if(candidates, [&](const ReplicaState *replica) {
         return replica->ownRequests >= request.maxOwnRequests;
     });
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -109,6 +109,8 @@
     SteadyTime measuredAt;
     /** It has declined a request lately. */
     SteadyTime fullUntil;
+    /** Its process has ended, so that it gets no requests until then or its next start. */
+    SteadyTime endedUntil;
     /** Consecutive failures. */
     int failures = 0;
     /** Until then, the failures exclude the replica from placement if others are available. */
@@ -176,6 +178,8 @@
      * its registration comes back as ready. False if that was known.
      */
     bool markLeaving(const ReplicaIncarnation &incarnation);
+    /** The process of this incarnation has ended. False if that was known. */
+    bool markEnded(const ReplicaFingerprint &replica);
     /** Removes the replicas whose removal is due and returns their ids. */
     std::vector<ReplicaId> expireMissing();
 
@@ -186,7 +190,7 @@
 
     const ReplicaState *find(const ReplicaId &id) const;
     const std::map<ReplicaId, ReplicaState> &all() const { return m_replicas; }
-    /** Replicas of a service that are neither draining nor leaving. */
+    /** Replicas of a service that are neither draining nor leaving; some of them may have ended. */
     std::vector<const ReplicaState *> usable(const PoolName &service) const;
 
     /** The version of all replicas of a service that are known now; none if they differ. */
@@ -242,7 +246,7 @@
 
 /** The replicas that may serve a request now or later, whatever their load. */
 std::vector<const ReplicaState *> eligibleReplicas(const ReplicaTable &table,
-                                                   const PlacementRequest &request);
+                                                   const PlacementRequest &request, SteadyTime now);
 
 /** Chooses the replica for a request; null if none can take it. */
 const ReplicaState *chooseReplica(const ReplicaTable &table, const PlacementRequest &request,
--- a/tests/control/placement_test.cpp
+++ b/tests/control/placement_test.cpp
@@ -142,6 +142,39 @@
     }
 }
 
+// Guards against calls that use up their tries on replicas that have ended, of which another VM or
+// another call has found that out already.
+TEST_F(PlacementTest, ReplicaThatHasEndedGetsNoRequestsUntilItsNextStart)
+{
+    const ReplicaFingerprint first = m_table.find(ReplicaId("r1"))->fingerprint;
+    for (const char *id : {"r1", "r2", "r3"}) {
+        EXPECT_TRUE(m_table.markEnded(m_table.find(ReplicaId(id))->fingerprint));
+    }
+    EXPECT_FALSE(m_table.markEnded(first));
+    {
+        SCOPED_TRACE("the others serve, and if there is none, nobody is asked in vain");
+        EXPECT_EQ(choose(), "r4");
+        EXPECT_EQ(choose("", {ReplicaId("r4")}), "");
+    }
+    {
+        SCOPED_TRACE("its registration from before says nothing new");
+        m_table.put(replica("r1"));
+        EXPECT_EQ(choose("", {ReplicaId("r4")}), "");
+    }
+    {
+        SCOPED_TRACE("it has started again");
+        ReplicaEntry restarted = replica("r1");
+        restarted.startedAtMillis = 5;
+        m_table.put(restarted);
+        EXPECT_EQ(choose("", {ReplicaId("r4")}), "r1");
+    }
+    {
+        SCOPED_TRACE("in case that the finding was wrong, it is tried again later");
+        m_clock.advance(Seconds(10));
+        EXPECT_EQ(choose("", {ReplicaId("r1"), ReplicaId("r4")}).empty(), false);
+    }
+}
+
 TEST_F(PlacementTest, ReplicasMeasuredAsSlowAreAvoided)
 {
     const std::string preferred = choose("program-1");
