--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -160,7 +160,7 @@
     const SteadyTime startedAt = m_clock.now();
     CallDecision decision = co_await open(call);
     if (const auto *refusal = std::get_if<CallRefusal>(&decision)) {
-        m_counters.refused += 1;
+        countRefusal(*refusal);
         co_await channel->sendRefusal(*refusal);
         co_return;
     }
@@ -194,7 +194,7 @@
         end.refusal = std::get<CallRefusal>(decision).reason;
         end.outcome = std::string(refusalReasonName(*end.refusal));
         co_await close(handle, end);
-        m_counters.refused += 1;
+        countRefusal(std::get<CallRefusal>(decision));
         co_await channel->sendRefusal(std::get<CallRefusal>(decision));
         co_return;
     }
@@ -266,6 +266,7 @@
     const AttemptResult attemptResult = co_await sendToReplica(progress, connection);
     if (attemptResult == AttemptResult::Incomplete && connection->brokenByServer()) {
         progress.observation.replicaEnded = co_await hasEnded(dispatch.replica.endpoint);
+        m_counters.requestsEndedWithReplica += progress.observation.replicaEnded ? 1 : 0;
     }
     co_return attemptResult;
 }
@@ -391,6 +392,12 @@
     co_return false;
 }
 
+void CallForwarder::countRefusal(const CallRefusal &refusal)
+{
+    m_counters.refused += 1;
+    m_counters.quarantinedCalls += refusal.reason == CallRefusalReason::Quarantined ? 1 : 0;
+}
+
 void CallForwarder::noteReplicaLeaving(const Progress &progress)
 {
     m_counters.leavingAnswers += 1;
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -100,6 +100,10 @@
     std::atomic<std::uint64_t> unreadableLimits = 0;
     /** Requests sent to replicas that were known to have a limit. */
     std::atomic<std::uint64_t> requestsUnderLimit = 0;
+    /** Requests under which the process of their replica ended. */
+    std::atomic<std::uint64_t> requestsEndedWithReplica = 0;
+    /** Calls that were refused as replica after replica had ended under requests for the same. */
+    std::atomic<std::uint64_t> quarantinedCalls = 0;
     /** Durations of served calls and streams. */
     Metrics latencies;
 };
@@ -141,6 +145,7 @@
     boost::asio::awaitable<bool> hasEnded(Endpoint replica);
     boost::asio::awaitable<bool> readMatchingHead(Progress &progress, ReplicaConnection &connection,
                                                   ReplicaResponseHead &head);
+    void countRefusal(const CallRefusal &refusal);
     /** Tells the scheduler that the replica of this attempt leaves. */
     void noteReplicaLeaving(const Progress &progress);
     /** Tells the scheduler which limit the replica of this attempt names, if it names one. */
