Soak: requests that crash the replicas that run them

Callers send three different requests (a call, a stream, a turn) that end the process of each replica which runs them, again and again at any VM, beside all other faults; the replica is back as another incarnation. A replica's link refuses connections while its process is gone, as a machine does. The check: after a target's third crash and three seconds, at most three further runs by VMs that were undisturbed, while the store was.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -25,6 +25,9 @@
 /** A stream that delivers nothing for this long is given up. */
 constexpr Milliseconds StreamIdleTimeout{2'500};
 constexpr int MaxAttempts = 6;
+/** Between two requests that crash replicas; three different ones come in turn. */
+constexpr Milliseconds MinCrashingPause{300};
+constexpr Milliseconds MaxCrashingPause{2'500};
 constexpr std::int64_t MaxTokensPerTurn = 9 * TokensPerEvent;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusBudgetExhausted = 402;
@@ -62,6 +65,7 @@
     , m_checker(checker)
     , m_directoryEndpoints(std::move(directoryEndpoints))
     , m_random(seed)
+    , m_crashRandom(seed)
 { }
 
 double Callers::randomFraction()
@@ -78,6 +82,7 @@
 {
     asio::co_spawn(m_context, refreshAddresses(), asio::detached);
     asio::co_spawn(m_context, startPrograms(perSecond), asio::detached);
+    asio::co_spawn(m_context, sendCrashingRequests(), asio::detached);
 }
 
 asio::awaitable<std::vector<Endpoint>> Callers::resolve()
@@ -128,6 +133,34 @@
     }
 }
 
+asio::awaitable<void> Callers::sendCrashingRequests()
+{
+    std::uniform_int_distribution<std::int64_t> pause(MinCrashingPause.count(),
+                                                      MaxCrashingPause.count());
+    const char *const prefixes[] = {"/look", "/read", "/turn"};
+    constexpr CallKind Kinds[] = {CallKind::Idempotent, CallKind::ResumableStream,
+                                  CallKind::StoredTurn};
+    while (!m_stopped) {
+        co_await sleepFor(Milliseconds(pause(m_crashRandom)));
+        const std::size_t kind = m_crashRandom() % std::size(Kinds);
+        Attempt attempt;
+        attempt.kind = Kinds[kind];
+        attempt.program = nextId("crashing");
+        attempt.input = "crash";
+        std::vector<HttpField> fields;
+        if (attempt.kind != CallKind::Idempotent) {
+            attempt.budget = MaxTokensPerTurn;
+            attempt.maxTokens = MaxTokensPerTurn;
+            fields = {{"Session-Id", attempt.program},
+                      {"Token-Budget", absl::StrCat(attempt.budget)},
+                      {"Token-Usage", absl::StrCat("100,", MaxTokensPerTurn)}};
+        }
+        const std::string target = absl::StrCat(prefixes[kind], "/crash");
+        asio::co_spawn(m_context, callWithRetries(attempt, target, fields),
+                       [](const std::exception_ptr &, const std::string &) {});
+    }
+}
+
 asio::awaitable<void> Callers::runProgram(Program program)
 {
     m_activePrograms += 1;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -44,6 +44,8 @@
 
     boost::asio::awaitable<void> startPrograms(double perSecond);
     boost::asio::awaitable<void> runProgram(Program program);
+    /** Sends requests that crash the replicas that run them, again and again, at any VM. */
+    boost::asio::awaitable<void> sendCrashingRequests();
     /** Runs turns one after the other; sub-agents continue from the latest turn. */
     boost::asio::awaitable<bool> runConversation(Program program, std::string session,
                                                  std::string previous, int turns);
@@ -66,6 +68,8 @@
     std::vector<Endpoint> m_directoryEndpoints;
     std::vector<Endpoint> m_frontEndpoints;
     std::mt19937_64 m_random;
+    /** Draws for crashing requests alone, so that the programs of a seed stay the same. */
+    std::mt19937_64 m_crashRandom;
     std::uint64_t m_nextId = 1;
     bool m_stopped = false;
     int m_activePrograms = 0;
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace boragepath::soak {
@@ -106,6 +107,8 @@
     site.replica =
         std::make_unique<PlatformReplica>(deployment.context, site.realEndpoint, identity,
                                           deployment.onRequestRun, deployment.seed++);
+    site.replica->onCrash([&deployment, id = identity.id] { deployment.onReplicaCrash(id); });
+    site.link->setListening(true);
     deployment.onReplicaStart(identity.id);
     writeRegistration(deployment, site);
 }
@@ -128,7 +131,25 @@
     : m_deployment(deployment)
     , m_random(seed)
     , m_startedAt(std::chrono::steady_clock::now())
-{ }
+{
+    deployment.onReplicaCrash = [this](const std::string &id) { crashReplica(id); };
+}
+
+void FaultInjector::crashReplica(const std::string &id)
+{
+    const auto site = std::find_if(m_deployment.replicas.begin(), m_deployment.replicas.end(),
+                                   [&](const ReplicaSite &item) {
+                                       return item.replica != nullptr && item.replica->id() == id;
+                                   });
+    if (site == m_deployment.replicas.end()) {
+        return;
+    }
+    const auto index = static_cast<std::size_t>(site - m_deployment.replicas.begin());
+    const Replacement replacement{Departure::Crash, site->replica->version(), false};
+    m_activeFaults += 1;
+    asio::co_spawn(m_deployment.context, replaceReplica(index, replacement),
+                   [this](const std::exception_ptr &) { m_activeFaults -= 1; });
+}
 
 void FaultInjector::logEvent(const std::string &event)
 {
@@ -259,33 +280,40 @@
     using Outage = RowServerFaults::Outage;
     constexpr Outage Kinds[] = {Outage::Silent, Outage::Busy, Outage::Throttling};
     logEvent("the store is away");
+    m_deployment.onStoreDisruption();
     m_deployment.store.faults().outage = Kinds[randomIndex(3)];
     co_await sleepRandomly(Milliseconds(500), Milliseconds(5'000));
     m_deployment.store.faults().outage = Outage::None;
+    m_deployment.onStoreDisruption();
 }
 
 asio::awaitable<void> FaultInjector::slowDownStore()
 {
     logEvent("the store is slow");
+    m_deployment.onStoreDisruption();
     m_deployment.store.faults().delay = Milliseconds(100 + randomIndex(300));
     co_await sleepRandomly(Milliseconds(500), Milliseconds(4'000));
     m_deployment.store.faults().delay = Milliseconds(0);
+    m_deployment.onStoreDisruption();
 }
 
 asio::awaitable<void> FaultInjector::loseStoreAnswers()
 {
     logEvent("the store loses answers and delays writes");
+    m_deployment.onStoreDisruption();
     m_deployment.store.faults().lostAnswers = 0.2;
     m_deployment.store.faults().delayedWrites = 0.1;
     co_await sleepRandomly(Milliseconds(500), Milliseconds(4'000));
     m_deployment.store.faults().lostAnswers = 0;
     m_deployment.store.faults().delayedWrites = 0;
+    m_deployment.onStoreDisruption();
 }
 
 asio::awaitable<void> FaultInjector::disruptStoreLink()
 {
     const std::size_t vm = randomIndex(m_deployment.storeLinks.size());
     LinkProxy &link = *m_deployment.storeLinks[vm];
+    m_deployment.onStoreDisruption();
     logEvent(absl::StrCat("link from VM ", vm, " to the store: fault"));
     switch (randomIndex(3)) {
     case 0:
@@ -301,6 +329,7 @@
     }
     co_await sleepRandomly(Milliseconds(500), Milliseconds(5'000));
     link.faults() = {};
+    m_deployment.onStoreDisruption();
 }
 
 asio::awaitable<void> FaultInjector::injectReplicaFault()
@@ -369,6 +398,7 @@
     if (replacement.departure != Departure::Crash) {
         co_await announceDeparture(site, replacement.departure);
     }
+    site.link->setListening(false);
     site.replica->stop();
     // Lets the replica's coroutines end, which they do once its connections are closed.
     co_await sleepFor(PollInterval);
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -68,6 +68,10 @@
     PlatformReplica::OnRequestRun onRequestRun;
     std::function<void(const std::string &replica)> onReplicaStart;
     std::function<void(const std::string &replica, std::optional<double> limit)> onLimit;
+    /** Ends the process of a replica that runs a request which crashes it. */
+    std::function<void(const std::string &replica)> onReplicaCrash;
+    /** The store, or a VM's way to it, begins or ceases to be disrupted. */
+    std::function<void()> onStoreDisruption;
     std::int64_t configurationVersion = 0;
     std::uint64_t nextReplica = 1;
     std::uint64_t seed = 0;
@@ -114,6 +118,8 @@
     boost::asio::awaitable<void> disruptReplicaLink();
     /** Some replicas, or all of a service, name a limit for some seconds. */
     boost::asio::awaitable<void> limitReplicas();
+    /** Ends the process of the replica of that id, if it runs. */
+    void crashReplica(const std::string &id);
     void nameLimit(std::size_t index, std::optional<double> limit);
     boost::asio::awaitable<void> sleepRandomly(Milliseconds shortest, Milliseconds longest);
     std::size_t randomIndex(std::size_t count) { return m_random() % count; }
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -34,6 +34,12 @@
 constexpr Milliseconds LimitWindow{4'000};
 constexpr double LimitTolerance = 1.5;
 constexpr double LimitSlackRequests = 5;
+/** Requests that crash replicas are sent on so often after this time from their third crash. */
+constexpr Milliseconds CrashReactionTime{3'000};
+constexpr std::size_t CrashesUntilBound = 3;
+constexpr int MaxSentAfterThirdCrash = 3;
+/** From sending to the crash, and until its callers' VM has seen it. */
+constexpr Milliseconds CrashTime{200};
 /** What a VM knew this long before it was disrupted may be lost with it. */
 constexpr Milliseconds DisruptionMargin{1'000};
 
@@ -108,6 +114,29 @@
     checkRequestBody(id, record, request);
     checkDraining(id, record, replica);
     checkLimit(id, record, replica);
+    if (PlatformReplica::crashesReplicas(request.target)) {
+        checkCrashes(id, record, request.target);
+    }
+}
+
+void InvariantChecker::checkCrashes(const std::string &id, const Record &record,
+                                    const std::string &target)
+{
+    m_counts["crashes by requests"] += 1;
+    CrashingTarget &crashing = m_crashingTargets[target];
+    const SteadyTime now = m_clock.now();
+    crashing.runs.push_back(now);
+    const auto disruption = m_disruptedAt.find(record.front);
+    const bool inTouch = now >= m_storeDisruptedAt + CrashReactionTime
+        && (disruption == m_disruptedAt.end() || now >= disruption->second + CrashReactionTime);
+    const bool isLate = crashing.runs.size() > CrashesUntilBound
+        && record.sentAt >= crashing.runs[CrashesUntilBound - 1] + CrashTime + CrashReactionTime;
+    crashing.late += inTouch && isLate ? 1 : 0;
+    if (crashing.late > MaxSentAfterThirdCrash) {
+        addViolation("BUDGET", id,
+                     absl::StrCat("request to ", target, " reached replicas ", crashing.late,
+                                  " times after it had ended three"));
+    }
 }
 
 void InvariantChecker::recordLimit(const std::string &replica, std::optional<double> perSecond)
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -86,6 +86,8 @@
     void recordLimitedAnswer(const Endpoint &front, const std::string &replica);
     /** A VM got a signal or was started; it may have forgotten what it knew. */
     void recordVmDisruption(const Endpoint &front);
+    /** The store, or the way of a VM to it, began or ceased to be disrupted. */
+    void recordStoreDisruption() { m_storeDisruptedAt = m_clock.now(); }
     /** A replica started, perhaps under an id that was used before. */
     void recordReplicaStart(const std::string &replica);
     /** Runs the checks that are possible only after all requests have ended. */
@@ -128,6 +130,14 @@
         std::deque<SteadyTime> arrivals;
     };
 
+    /** A target at which each request ends the replica that runs it. */
+    struct CrashingTarget
+    {
+        std::vector<SteadyTime> runs;
+        /** Runs that count against the bound. */
+        int late = 0;
+    };
+
     /** A request refused for its budget, and what counted against the budget at that time. */
     struct BudgetRefusal
     {
@@ -142,6 +152,7 @@
     void recordBudgetRefusal(const std::string &id, const Record &record);
     void checkRequestBody(const std::string &id, const Record &record, const HttpRequest &request);
     void checkDraining(const std::string &id, const Record &record, const std::string &replica);
+    void checkCrashes(const std::string &id, const Record &record, const std::string &target);
     void checkLimit(const std::string &id, const Record &record, const std::string &replica);
     void countTakenUp(const Record &record, const AttemptResult &result);
     std::optional<ReceivedStream> checkStream(const std::string &id, Record &record,
@@ -158,6 +169,8 @@
     std::map<LeavingNotice, SteadyTime> m_leavingNotices;
     std::map<Endpoint, SteadyTime> m_disruptedAt;
     std::map<std::string, LimitedReplica> m_limited;
+    std::map<std::string, CrashingTarget> m_crashingTargets;
+    SteadyTime m_storeDisruptedAt;
     std::map<std::string, int> m_counts;
     std::vector<std::string> m_violations;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -203,6 +203,8 @@
                           [&](const std::string &replica, std::optional<double> limit) {
                               checker.recordLimit(replica, limit);
                           },
+                          [](const std::string &) {},
+                          [&] { checker.recordStoreDisruption(); },
                           0,
                           1,
                           options.seed};
@@ -217,6 +219,8 @@
         directoryEndpoints.push_back(fleet.directoryEndpoint(vm));
     }
     const std::size_t services = std::max<std::size_t>(2, options.replicas / 2);
+    // Replicas refer to their sites.
+    deployment.replicas.reserve(options.replicas + services);
     for (std::size_t index = 0; index < options.replicas + services; ++index) {
         const char *service = index < options.replicas ? "engine" : "app";
         deployment.replicas.push_back(makeReplicaSite(deployment, options, index, service));
--- a/standin/link_proxy.cpp
+++ b/standin/link_proxy.cpp
@@ -30,9 +30,26 @@
 
 LinkProxy::LinkProxy(asio::io_context &context, const Endpoint &listenAt, Endpoint target)
     : m_context(context)
-    , m_acceptor(context, {asio::ip::make_address(listenAt.address), listenAt.port})
+    , m_acceptor(context)
+    , m_listenAt(asio::ip::make_address(listenAt.address), listenAt.port)
     , m_target(std::move(target))
 {
+    setListening(true);
+}
+
+void LinkProxy::setListening(bool listening)
+{
+    if (listening == m_acceptor.is_open()) {
+        return;
+    }
+    if (!listening) {
+        m_acceptor.close();
+        return;
+    }
+    m_acceptor.open(m_listenAt.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(m_listenAt);
+    m_acceptor.listen();
     asio::co_spawn(m_context, accept(), asio::detached);
 }
 
@@ -52,6 +69,9 @@
         boost::system::error_code error;
         auto caller = std::make_shared<tcp::socket>(
             co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error)));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
         if (error) {
             continue;
         }
--- a/standin/link_proxy.h
+++ b/standin/link_proxy.h
@@ -36,6 +36,8 @@
     LinkFaults &faults() { return *m_faults; }
     /** Resets all connections that are currently open. */
     void resetAll();
+    /** While it does not listen, connections are refused, as by a machine without that process. */
+    void setListening(bool listening);
 
 private:
     using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
@@ -47,6 +49,7 @@
 
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_listenAt;
     Endpoint m_target;
     std::shared_ptr<LinkFaults> m_faults = std::make_shared<LinkFaults>();
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> m_sockets;
--- a/standin/platform_replica.cpp
+++ b/standin/platform_replica.cpp
@@ -54,6 +54,9 @@
     return resumed.empty() ? request.headerValue("Attempt-Id") : resumed;
 }
 
+/** Part of the targets of requests that crash replicas. */
+constexpr const char *CrashMark = "/crash";
+
 bool isStream(const HttpRequest &request)
 {
     return request.target.starts_with("/turn/") || request.target.starts_with("/read/");
@@ -135,6 +138,11 @@
                         "\r\n\r\n", body);
 }
 
+bool PlatformReplica::crashesReplicas(const std::string &target)
+{
+    return target.find(CrashMark) != std::string::npos;
+}
+
 void PlatformReplica::stop()
 {
     boost::system::error_code ignored;
@@ -203,6 +211,12 @@
     }
     m_onRequestRun(request, id());
     co_await sleepFor(ProcessingTime + m_faults.delay);
+    if (crashesReplicas(request.target)) {
+        if (m_onCrash) {
+            m_onCrash();
+        }
+        co_return false;
+    }
     if (withProbability(m_faults.losesAnswers)) {
         co_return false;
     }
--- a/standin/platform_replica.h
+++ b/standin/platform_replica.h
@@ -83,6 +83,10 @@
     void announceLeaving() { m_leaving = true; }
     /** From now on, all answers name this limit in requests a second, or none. */
     void nameLimit(std::optional<double> perSecond) { m_limit = perSecond; }
+    /** Sets what ends the replica's process when it runs a request that crashes it. */
+    void onCrash(std::function<void()> task) { m_onCrash = std::move(task); }
+    /** True if replicas crash when they run requests to the target. */
+    static bool crashesReplicas(const std::string &target);
     /** Closes all connections and accepts no new ones. */
     void stop();
 
@@ -105,6 +109,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     ReplicaIdentity m_identity;
     OnRequestRun m_onRequestRun;
+    std::function<void()> m_onCrash;
     ReplicaFaults m_faults;
     std::mt19937_64 m_random;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> m_sockets;
