--- a/control/request_quarantine.h
+++ b/control/request_quarantine.h
@@ -83,7 +83,10 @@
     void noteCrash(const RequestIdentity &request, const RequestCrash &crash);
     /** Records that the request was answered as complete just now. */
     void noteAnswered(const RequestIdentity &request);
-    /** True if the attempt may be sent to a replica. */
+    /**
+     * True if the attempt may be sent to a replica. Of a quarantined request it may be the one
+     * attempt that is let through; the next one has to wait from then on.
+     */
     bool admits(const RequestIdentity &request, const AttemptId &attempt);
     bool isQuarantined(const RequestFingerprint &request) const;
     /** Ends the quarantine of a request, as if it had been answered just now. */
--- a/tests/support/crash_fleet.cpp
+++ b/tests/support/crash_fleet.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/crash_fleet.h"
 
+#include "tests/support/fleet_vms.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -14,24 +16,13 @@
 constexpr Milliseconds GossipInterval{300};
 constexpr std::size_t GossipFanout = 4;
 constexpr std::size_t NewsPerDatagram = 12;
-constexpr std::size_t FirstPeersPort = 2'000;
-
-VmEntry vmEntry(std::size_t index)
-{
-    VmEntry entry;
-    entry.vm = VmId(absl::StrCat("vm-", index));
-    entry.front = {"10.0.0.1", static_cast<std::uint16_t>(1'000 + index)};
-    entry.peers = {"10.0.0.1", static_cast<std::uint16_t>(FirstPeersPort + index)};
-    entry.incarnation = 1;
-    return entry;
-}
 
 } // namespace
 
 struct CrashFleet::Vm
 {
     Vm(CrashFleet &fleet, std::size_t index)
-        : directory(fleet.m_clock, vmEntry(index), index)
+        : directory(fleet.m_clock, fleetVm(index), index)
         , quarantine(fleet.m_clock, fleet.m_timers, directory,
                      [&fleet, index](const Endpoint &to,
                                      const std::vector<peers::RequestCrashNews> &news) {
@@ -64,37 +55,26 @@
     const bool allStarted =
         std::all_of(m_vms.begin(), m_vms.end(), [](const auto &item) { return item != nullptr; });
     if (allStarted) {
-        exchangeVmNews();
+        exchangeVmNews(m_vms);
     }
-    m_generation += 1;
-    gossip(vm, m_generation);
+    gossip(vm);
 }
 
 void CrashFleet::restart(std::size_t vm)
 {
-    // Its timers refer to it, so the old process is kept, cut off from everything.
+    // Timers refer to the old process, so it is kept; it gets no datagrams any more.
     m_sideB.erase(vm);
     const std::shared_ptr<Vm> old = m_vms[vm];
     start(vm);
     m_timers.after(std::chrono::hours(24), [old] {});
 }
 
-void CrashFleet::exchangeVmNews()
-{
-    for (const auto &sender : m_vms) {
-        const peers::VmNews news = sender->directory.ownNews();
-        for (const auto &receiver : m_vms) {
-            receiver->directory.receive(news);
-        }
-    }
-}
-
-void CrashFleet::gossip(std::size_t vm, std::size_t generation)
+void CrashFleet::gossip(std::size_t vm)
 {
     const std::shared_ptr<Vm> sender = m_vms[vm];
-    m_timers.after(GossipInterval, [this, vm, generation, sender] {
+    m_timers.after(GossipInterval, [this, vm, sender] {
         if (m_vms[vm] == sender) {
-            gossip(vm, generation);
+            gossip(vm);
         }
     });
     peers::VmHeartbeat heartbeat;
@@ -125,7 +105,6 @@
 void CrashFleet::send(std::size_t from, std::size_t to,
                       const std::vector<peers::RequestCrashNews> &news)
 {
-    m_datagrams += 1;
     const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < lossRate;
     if (isLost || !isConnected(from, to)) {
         return;
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -48,14 +48,12 @@
     std::size_t sent() const { return m_sentAt.size(); }
     /** Those that were sent later than @p delay after the third replica had ended. */
     std::size_t sentAfterThirdCrash(Duration delay) const;
-    std::size_t datagrams() const { return m_datagrams; }
 
 private:
     struct Vm;
 
     void start(std::size_t vm);
-    void exchangeVmNews();
-    void gossip(std::size_t vm, std::size_t generation);
+    void gossip(std::size_t vm);
     void send(std::size_t from, std::size_t to, const std::vector<peers::RequestCrashNews> &news);
     bool isConnected(std::size_t from, std::size_t to) const;
 
@@ -67,8 +65,6 @@
     std::set<std::size_t> m_sideB;
     std::vector<SteadyTime> m_sentAt;
     std::vector<SteadyTime> m_crashedAt;
-    std::size_t m_datagrams = 0;
-    std::size_t m_generation = 0;
 };
 
 } // namespace boragepath
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/limited_fleet.h"
 
+#include "tests/support/fleet_vms.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -20,20 +22,9 @@
 constexpr Milliseconds GossipInterval{300};
 constexpr std::size_t GossipFanout = 4;
 constexpr std::size_t LimitsPerDatagram = 8;
-constexpr std::size_t FirstPeersPort = 2'000;
 constexpr double LimitTolerance = 1.5;
 constexpr double LimitSlack = 5;
 
-VmEntry vmEntry(std::size_t index)
-{
-    VmEntry entry;
-    entry.vm = VmId(absl::StrCat("vm-", index));
-    entry.front = {"10.0.0.1", static_cast<std::uint16_t>(1'000 + index)};
-    entry.peers = {"10.0.0.1", static_cast<std::uint16_t>(FirstPeersPort + index)};
-    entry.incarnation = 1;
-    return entry;
-}
-
 std::shared_ptr<const RouteTable> routeTable(bool hasPrompts)
 {
     auto table = std::make_shared<RouteTable>();
@@ -58,7 +49,7 @@
     Vm(LimitedFleet &fleet, std::size_t index)
         : health(fleet.m_clock)
         , replicas(fleet.m_clock)
-        , directory(fleet.m_clock, vmEntry(index), index)
+        , directory(fleet.m_clock, fleetVm(index), index)
         , ledger(fleet.m_clock, fleet.m_timers, fleet.m_store, health, index)
         , turns(fleet.m_clock, fleet.m_timers, fleet.m_store, health, 1'000'000, index)
         , grants(fleet.m_clock, fleet.m_timers, ledger, health, "vm")
@@ -148,12 +139,7 @@
 
 void LimitedFleet::exchangeVmNews()
 {
-    for (const auto &sender : m_vms) {
-        const peers::VmNews news = sender->directory.ownNews();
-        for (const auto &receiver : m_vms) {
-            receiver->directory.receive(news);
-        }
-    }
+    boragepath::exchangeVmNews(m_vms);
     for (const auto &vm : m_vms) {
         vm->directory.markRowsRead();
     }
