A quarantined request is tried again though its body and its target are quarantined

Cause: each of the two named a VM of its own for the next try, and a try needed both.

Fix: the target names the VM for both, so that one VM may try.

--- a/control/request_quarantine.cpp
+++ b/control/request_quarantine.cpp
@@ -152,7 +152,11 @@
 {
     const RequestFingerprint fingerprints[] = {request.request, request.target};
     for (const RequestFingerprint &fingerprint : fingerprints) {
-        if (isQuarantined(fingerprint) && !mayTry(fingerprint, attempt)) {
+        if (!isQuarantined(fingerprint) || isTrial(fingerprint, attempt)) {
+            continue;
+        }
+        // The VM that tries is named by the target, so that it is the same one for both.
+        if (!isTrialDue(fingerprint) || m_vms.coordinatorFor(request.target.text()).has_value()) {
             return false;
         }
     }
@@ -164,17 +168,19 @@
     return true;
 }
 
-bool RequestQuarantine::mayTry(const RequestFingerprint &request, const AttemptId &attempt) const
+bool RequestQuarantine::isTrial(const RequestFingerprint &request, const AttemptId &attempt) const
+{
+    const Entry &entry = *m_entries.find(request);
+    return entry.trialAt.has_value() && entry.trial == attempt
+        && entry.evidence.crashes.back().at < *entry.trialAt;
+}
+
+bool RequestQuarantine::isTrialDue(const RequestFingerprint &request) const
 {
     const Entry &entry = *m_entries.find(request);
     const SteadyTime lastCrashAt = entry.evidence.crashes.back().at;
-    const bool isTrial = entry.trialAt.has_value() && entry.trial == attempt;
-    if (isTrial && lastCrashAt < *entry.trialAt) {
-        return true;
-    }
     const SteadyTime lastTriedAt = std::max(lastCrashAt, entry.trialAt.value_or(lastCrashAt));
-    return m_clock.now() >= lastTriedAt + trialDelay(entry.trials)
-        && !m_vms.coordinatorFor(request.text()).has_value();
+    return m_clock.now() >= lastTriedAt + trialDelay(entry.trials);
 }
 
 void RequestQuarantine::beginTrial(const RequestFingerprint &request, const AttemptId &attempt)
--- a/control/request_quarantine.h
+++ b/control/request_quarantine.h
@@ -122,8 +122,10 @@
         int trials = 0;
     };
 
-    /** True if the attempt may try a quarantined request, or is trying it. */
-    bool mayTry(const RequestFingerprint &request, const AttemptId &attempt) const;
+    /** True if the attempt is the one that was let through, and no replica has ended since. */
+    bool isTrial(const RequestFingerprint &request, const AttemptId &attempt) const;
+    /** True if it is time to let the next attempt through. */
+    bool isTrialDue(const RequestFingerprint &request) const;
     void beginTrial(const RequestFingerprint &request, const AttemptId &attempt);
     /** Adds evidence; true if it was new. */
     bool merge(const RequestFingerprint &request, const CrashEvidence &evidence);
