A request that others are answered at needs more crashes to be quarantined

Cause: a request that many callers send is in progress at most crashes, whoever causes them, and an answer that is no stream looks as if it had just begun. While all replicas of a small service are gone, no answer can clear it.

Fix: VMs remember for each request and target when it was last answered (2,000 of them), and tell it with the news of a crash. One that was answered within 10 s before its first crash is quarantined at its sixth. A request that begins to crash replicas within 10 s of an answer is then sent on three times after its third crash, which is the bound.

Evidence: RequestThatIsAnsweredAgainAndAgainNeedsMoreCrashes and OtherVmsTellThatTheyGotAnswersToTheRequestLately failed before.

--- a/control/request_quarantine.cpp
+++ b/control/request_quarantine.cpp
@@ -12,6 +12,11 @@
 constexpr std::size_t MaxCrashes = 6;
 constexpr std::size_t MaxCrashCount = 3;
 constexpr std::size_t MaxCrashCountAtBeginning = 2;
+/** The same for a request that had been answered within this time before its first crash. */
+constexpr std::size_t MaxCrashCountAfterAnswer = 6;
+constexpr Milliseconds RecentAnswerTime{10'000};
+/** Requests whose last answer a VM remembers; they take some hundred kilobytes. */
+constexpr std::size_t MaxAnsweredRequests = 2'000;
 /** Replicas that end within this time of each other have lost their power or their network. */
 constexpr Milliseconds CommonCauseWindow{25};
 /** Time until a quarantined request is tried once; grows by TrialDelayFactor with each try. */
@@ -93,6 +98,11 @@
 
 bool isToBeQuarantined(const CrashEvidence &evidence)
 {
+    const bool answeredLately = evidence.answeredAt.has_value() && !evidence.crashes.empty()
+        && evidence.crashes.front().at < *evidence.answeredAt + RecentAnswerTime;
+    if (answeredLately) {
+        return independentCrashes(evidence.crashes, false) >= MaxCrashCountAfterAnswer;
+    }
     return independentCrashes(evidence.crashes, false) >= MaxCrashCount
         || independentCrashes(evidence.crashes, true) >= MaxCrashCountAtBeginning;
 }
@@ -104,6 +114,7 @@
     , m_vms(vms)
     , m_send(std::move(send))
     , m_entries(MaxRequests)
+    , m_answeredAt(MaxAnsweredRequests)
 { }
 
 void RequestQuarantine::noteCrash(const RequestIdentity &request, const RequestCrash &crash)
@@ -121,8 +132,10 @@
 
 void RequestQuarantine::noteAnswered(const RequestIdentity &request)
 {
-    release(request.request);
-    release(request.target);
+    for (const RequestFingerprint &fingerprint : {request.request, request.target}) {
+        m_answeredAt.put(fingerprint) = m_clock.now();
+        release(fingerprint);
+    }
 }
 
 void RequestQuarantine::release(const RequestFingerprint &request)
@@ -205,7 +218,11 @@
     Entry &entry = m_entries.put(request);
     CrashEvidence &known = entry.evidence;
     // An empty optional is less than any time.
+    const std::optional<SteadyTime> answeredBefore = known.answeredAt;
     known.answeredAt = std::max(known.answeredAt, evidence.answeredAt);
+    if (const SteadyTime *answeredHere = m_answeredAt.find(request)) {
+        known.answeredAt = std::max(known.answeredAt, std::optional(*answeredHere));
+    }
     const auto isCleared = [&](const RequestCrash &crash) {
         return known.answeredAt.has_value() && crash.at <= *known.answeredAt;
     };
@@ -215,6 +232,7 @@
             changed = addCrash(known.crashes, crash) || changed;
         }
     }
+    changed = changed || (known.answeredAt > answeredBefore && !known.crashes.empty());
     if (changed) {
         passOn(request, entry);
         updateQuarantine(request, entry);
--- a/control/request_quarantine.h
+++ b/control/request_quarantine.h
@@ -40,7 +40,9 @@
 /**
  * True if the request is to be sent to no further replica: it was in progress at three crashes, or
  * had just begun to run at two. Replicas that end at the same moment, all of them with
- * the request in progress already, have a common cause and count once.
+ * the request in progress already, have a common cause and count once. A request that
+ * had been answered shortly before its first crash, as one that many callers send, needs more of
+ * them: it is in progress at most crashes that another request causes.
  */
 bool isToBeQuarantined(const CrashEvidence &evidence);
 
@@ -142,6 +144,8 @@
     std::vector<OnChange> m_onChange;
     OnReplicaEnded m_onReplicaEnded = [](const ReplicaFingerprint &) {};
     LruMap<RequestFingerprint, Entry> m_entries;
+    /** When this VM last got a complete answer to each request. */
+    LruMap<RequestFingerprint, SteadyTime> m_answeredAt;
     /** In the order in which they became quarantined. */
     std::deque<RequestFingerprint> m_quarantined;
     /** Those with rounds of gossip left. */
--- a/tests/control/request_quarantine_test.cpp
+++ b/tests/control/request_quarantine_test.cpp
@@ -82,6 +82,33 @@
     EXPECT_TRUE(admits());
 }
 
+// Soak seed 725: a tool call that all programs make was in progress, each time just sent, when
+// another request ended all replicas of a small service one after the other. It was refused then.
+TEST_F(RequestQuarantineTest, RequestThatIsAnsweredAgainAndAgainNeedsMoreCrashes)
+{
+    m_quarantine.noteAnswered(Request);
+    m_timers.run(Seconds(1));
+    for (std::int64_t replica = 1; replica <= 5; ++replica) {
+        crash(replica, Milliseconds(16), true);
+        EXPECT_TRUE(admits()) << replica;
+    }
+    crash(6, Milliseconds(16), true);
+    EXPECT_FALSE(admits());
+}
+
+TEST(RequestQuarantineFleetTest, OtherVmsTellThatTheyGotAnswersToTheRequestLately)
+{
+    CrashFleet fleet(11, 1);
+    fleet.run(Seconds(1));
+    fleet.answer(7, Request);
+    fleet.run(Seconds(1));
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        EXPECT_TRUE(fleet.sendCrashing(0, Request));
+        fleet.run(Milliseconds(200));
+    }
+    EXPECT_TRUE(fleet.sendCrashing(0, Request));
+}
+
 TEST_F(RequestQuarantineTest, TheSameCrashSeenByTwoVmsCountsOnce)
 {
     for (int vm = 0; vm < 4; ++vm) {
