--- a/control/request_quarantine.h
+++ b/control/request_quarantine.h
@@ -107,7 +107,6 @@
      * some of the quarantined requests in turn, so that VMs that start learn of them.
      */
     std::vector<peers::RequestCrashNews> takeForGossip(std::size_t count);
-    std::size_t quarantinedCount() const { return m_quarantined.size(); }
 
 private:
     struct Entry
--- a/tests/support/crash_fleet.cpp
+++ b/tests/support/crash_fleet.cpp
@@ -112,11 +112,6 @@
     m_timers.after(DatagramDelay, [this, to, news] { m_vms[to]->quarantine.receive(news); });
 }
 
-RequestQuarantine &CrashFleet::quarantineOf(std::size_t vm)
-{
-    return m_vms[vm]->quarantine;
-}
-
 bool CrashFleet::sendCrashing(std::size_t vm, const RequestIdentity &request)
 {
     const AttemptId attempt(absl::StrCat("attempt-", m_random()));
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -42,7 +42,6 @@
     const std::map<RowName, StoreRow> &rows() const { return m_store.rows(); }
     void removeRow(const RowName &row) { m_store.remove(row); }
 
-    RequestQuarantine &quarantineOf(std::size_t vm);
     std::size_t size() const { return m_vms.size(); }
     /** Requests that were sent to replicas. */
     std::size_t sent() const { return m_sentAt.size(); }
