--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -25,7 +25,7 @@
 /** A stream that delivers nothing for this long is given up. */
 constexpr Milliseconds StreamIdleTimeout{2'500};
 constexpr int MaxAttempts = 6;
-/** Between two requests that crash replicas; three different ones come in turn. */
+/** Between two requests that crash replicas; each is one of three. */
 constexpr Milliseconds MinCrashingPause{300};
 constexpr Milliseconds MaxCrashingPause{2'500};
 constexpr std::int64_t MaxTokensPerTurn = 9 * TokensPerEvent;
