--- a/control/route_table.h
+++ b/control/route_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/admission/organisations.h"
 #include "core/clock.h"
 #include "core/ids.h"
 
@@ -52,6 +53,8 @@
     /** A replica serves requests faster if it has their prompt's prefix or their object in memory.
      */
     bool hasAffinity = false;
+    /** Served without an API key where the deployment has organisations. */
+    bool isPublic = false;
     std::vector<WeightedService> services;
 
     /** Requests contain a prompt; only model engines answer by streams. */
@@ -83,6 +86,8 @@
     std::vector<RoutePolicy> routes;
     std::map<PoolName, ServicePolicy> services;
     CallerLimits limits;
+    /** None if the deployment serves everybody, without API keys. */
+    std::optional<OrganisationTable> organisations;
 };
 
 /**
--- a/core/clock.h
+++ b/core/clock.h
@@ -6,6 +6,19 @@
 
 using Duration = std::chrono::steady_clock::duration;
 using SteadyTime = std::chrono::steady_clock::time_point;
+/** Like the steady clock, but it goes on while the machine is suspended. */
+struct BootClock
+{
+    using duration = std::chrono::steady_clock::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+using BootTime = BootClock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
@@ -19,6 +32,9 @@
     /** Monotonic time of this process. Leases and timeouts use only this. */
     virtual SteadyTime now() const = 0;
 
+    /** Monotonic time that includes suspension of the machine. */
+    virtual BootTime bootNow() const = 0;
+
     /** Calendar time. Used only for budget periods, reports and stored records. */
     virtual WallTime wallNow() const = 0;
 };
@@ -28,6 +44,7 @@
 {
 public:
     SteadyTime now() const override { return std::chrono::steady_clock::now(); }
+    BootTime bootNow() const override { return BootClock::now(); }
     WallTime wallNow() const override { return std::chrono::system_clock::now(); }
 };
 
--- a/core/ids.h
+++ b/core/ids.h
@@ -13,6 +13,8 @@
 using ZoneId = StrongType<std::string, struct ZoneIdTag>;
 /** Name of one catalogue entry. */
 using EntryName = StrongType<std::string, struct EntryNameTag>;
+/** Name of an organisation, a customer of the deployment. */
+using OrganisationId = StrongType<std::string, struct OrganisationIdTag>;
 /** Name of one program, unique within its entry. The caller chooses it. */
 using ProgramId = StrongType<std::string, struct ProgramIdTag>;
 /** Name of a model, or of a plain service, that backend servers offer. */
