--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -295,7 +295,7 @@
         }
     }
     const std::string head =
-        progress.codec.requestHead(dispatch.replica, timeLeft, bodyBytes, progress.lastEventId);
+        progress.codec.requestHead(dispatch, timeLeft, bodyBytes, progress.lastEventId);
     if (dispatch.sendBefore.has_value() && progress.sentAt >= *dispatch.sendBefore) {
         m_replicaConnections.returnIdle(dispatch.replica.endpoint, connection,
                                         DefaultKeepAliveTimeout);
@@ -396,6 +396,8 @@
 {
     m_counters.refused += 1;
     m_counters.quarantinedCalls += refusal.reason == CallRefusalReason::Quarantined ? 1 : 0;
+    m_counters.unauthorizedCalls += refusal.reason == CallRefusalReason::UnknownKey ? 1 : 0;
+    m_counters.unconfirmedKeyCalls += refusal.reason == CallRefusalReason::KeysUnconfirmed ? 1 : 0;
 }
 
 void CallForwarder::noteReplicaLeaving(const Progress &progress)
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -49,7 +49,7 @@
      * Returns the request head, including the final blank line, for a body of @p bodyBytes.
      * With @p resumeAfter the stream is to continue after the event of that id.
      */
-    std::function<std::string(const ReplicaEntry &replica, Milliseconds timeLeft,
+    std::function<std::string(const CallDispatch &dispatch, Milliseconds timeLeft,
                               std::size_t bodyBytes, std::optional<std::int64_t> resumeAfter)>
         requestHead;
     std::function<ReplicaResponseHead(const HttpResponse &response)> readHead;
@@ -104,6 +104,10 @@
     std::atomic<std::uint64_t> requestsEndedWithReplica = 0;
     /** Calls that were refused as replica after replica had ended under requests for the same. */
     std::atomic<std::uint64_t> quarantinedCalls = 0;
+    /** Calls without an API key that the configuration knows. */
+    std::atomic<std::uint64_t> unauthorizedCalls = 0;
+    /** Calls that were refused as the API keys were not known to be in force any more. */
+    std::atomic<std::uint64_t> unconfirmedKeyCalls = 0;
     /** Durations of served calls and streams. */
     Metrics latencies;
 };
--- a/control/admission/organisations.cpp
+++ b/control/admission/organisations.cpp
@@ -6,9 +6,8 @@
 
 bool OrganisationTable::add(const Organisation &organisation, const std::vector<KeyDigest> &keys)
 {
-    const bool isHeld = std::any_of(keys.begin(), keys.end(), [this](const KeyDigest &key) {
-        return m_holders.contains(key);
-    });
+    const bool isHeld = std::any_of(
+        keys.begin(), keys.end(), [this](const KeyDigest &key) { return m_holders.contains(key); });
     if (isHeld || m_organisations.contains(organisation.id)) {
         return false;
     }
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "control/call_scheduler.h"
 
+#include "control/admission/call_authorization.h"
+#include "control/admission/scoped_ids.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -48,6 +50,7 @@
     case CallRefusalReason::NoConfiguration:
         return ConfigurationRetryAfter;
     case CallRefusalReason::StoreUnavailable:
+    case CallRefusalReason::KeysUnconfirmed:
         return StoreRetryAfter;
     case CallRefusalReason::NoReplica:
     case CallRefusalReason::ReplicasLimited:
@@ -61,17 +64,12 @@
     case CallRefusalReason::UnknownTurn:
     case CallRefusalReason::StreamVersionUnknown:
     case CallRefusalReason::StreamVersionGone:
+    case CallRefusalReason::UnknownKey:
         break;
     }
     return Milliseconds(0);
 }
 
-/** The call's program; a call without one counts as a program of its own. */
-ProgramId programOf(const IncomingCall &call)
-{
-    return call.program.value().empty() ? ProgramId(call.attempt.value()) : call.program;
-}
-
 } // namespace
 
 std::string_view refusalReasonName(CallRefusalReason reason)
@@ -101,6 +99,10 @@
         return "version-gone";
     case CallRefusalReason::Quarantined:
         return "quarantined";
+    case CallRefusalReason::UnknownKey:
+        return "unknown-key";
+    case CallRefusalReason::KeysUnconfirmed:
+        return "keys-unconfirmed";
     }
     return "unknown";
 }
@@ -129,22 +131,46 @@
     return true;
 }
 
-std::optional<CallRefusal> CallScheduler::resolveRoute(Call &call) const
+ProgramId CallScheduler::programOf(const Call &call)
+{
+    const IncomingCall &incoming = call.incoming;
+    const ProgramId program =
+        incoming.program.value().empty() ? ProgramId(incoming.attempt.value()) : incoming.program;
+    return call.organisation == nullptr ? program : scopedProgram(program, call.organisation->id);
+}
+
+AttemptId CallScheduler::storedTurn(const Call &call, const AttemptId &turn)
+{
+    return call.organisation == nullptr ? turn : scopedTurn(turn, call.organisation->id);
+}
+
+std::optional<CallRefusalReason> CallScheduler::resolveRoute(Call &call) const
 {
     if (m_table == nullptr) {
-        return CallRefusal{CallRefusalReason::NoConfiguration, ConfigurationRetryAfter};
+        return CallRefusalReason::NoConfiguration;
     }
     call.table = m_table;
     call.route = matchRoute(*m_table, call.incoming.host, call.incoming.path);
     if (call.route == nullptr || call.route->services.empty()) {
-        return CallRefusal{CallRefusalReason::NoRoute, Milliseconds(0)};
+        return CallRefusalReason::NoRoute;
     }
     Milliseconds timeout = call.incoming.callerTimeout.value_or(DefaultTimeout);
     if (call.route->timeout.count() > 0) {
         timeout = std::min(timeout, call.route->timeout);
     }
     call.deadline = call.openedAt + timeout;
-    call.service = chooseService(*call.route, programOf(call.incoming).value());
+    const CallAuthorization authorization =
+        authorizeCall(*m_table, *call.route, call.incoming.key, m_dependencies.lease.isValid());
+    switch (authorization.result) {
+    case CallAuthorization::Result::Authorized:
+        break;
+    case CallAuthorization::Result::UnknownKey:
+        return CallRefusalReason::UnknownKey;
+    case CallAuthorization::Result::KeysUnconfirmed:
+        return CallRefusalReason::KeysUnconfirmed;
+    }
+    call.organisation = authorization.organisation;
+    call.service = chooseService(*call.route, programOf(call).value());
     return std::nullopt;
 }
 
@@ -156,10 +182,10 @@
     call.openedAt = m_dependencies.clock.now();
     call.done = std::move(done);
     const CallHandle handle(m_nextHandle++);
-    const std::optional<CallRefusal> refusal = resolveRoute(call);
+    const std::optional<CallRefusalReason> refusal = resolveRoute(call);
     Call &opened = m_calls[handle] = std::move(call);
     if (refusal.has_value()) {
-        refuse(handle, refusal->reason);
+        refuse(handle, *refusal);
         return;
     }
     if (!isAdmitted(opened)) {
@@ -222,7 +248,7 @@
     Call &call = m_calls[handle];
     const SteadyTime until = std::min(call.deadline, call.openedAt + MaxStoreWait);
     m_dependencies.turns.find(
-        call.incoming.previousTurn, until,
+        storedTurn(call, call.incoming.previousTurn), until,
         [this, handle](TurnLookup lookup, const ConversationSnapshotPtr &snapshot) {
             if (lookup == TurnLookup::Absent) {
                 refuse(handle, CallRefusalReason::UnknownTurn);
@@ -248,7 +274,7 @@
     // A turn that will be stored needs a reservation even if its program has no budget.
     const std::int64_t budget =
         incoming.tokenBudget.value_or(std::numeric_limits<std::int64_t>::max());
-    const ReservationRequest claim{programOf(incoming), incoming.attempt, budget,
+    const ReservationRequest claim{programOf(call), storedTurn(call, incoming.attempt), budget,
                                    incoming.maxTurnTokens};
     const SteadyTime until = std::min(call.deadline, call.openedAt + MaxStoreWait);
     const auto decide = [this, handle](ReservationResult reservation,
@@ -300,7 +326,7 @@
         request.affinityKey = call.incoming.object;
         request.warmReplica = m_objects.find(call.service, call.incoming.object);
     } else if (call.route->hasPrompt()) {
-        request.affinityKey = programOf(call.incoming).value();
+        request.affinityKey = programOf(call).value();
         request.warmReplica = call.promptReplica;
     }
     return request;
@@ -330,8 +356,8 @@
         refuse(handle, CallRefusalReason::DeadlineExceeded);
         return;
     }
-    if (!isAdmitted(call)) {
-        refuse(handle, CallRefusalReason::Quarantined);
+    if (const auto reason = reasonNotToSend(call); reason.has_value()) {
+        refuse(handle, *reason);
         return;
     }
     if (m_queue.empty()) {
@@ -391,7 +417,9 @@
     queued.handle = handle;
     queued.service = call.service;
     queued.programDeadline = call.incoming.programDeadline;
-    queued.priority = call.route->priority;
+    const bool hasOwnPriority =
+        call.organisation != nullptr && call.organisation->priority.has_value();
+    queued.priority = hasOwnPriority ? *call.organisation->priority : call.route->priority;
     queued.programStarted = isUnderWay(call);
     queued.queuedAt = m_dependencies.clock.now();
     return queued;
@@ -422,8 +450,8 @@
     for (QueuedCall &item : queued) {
         Call &call = m_calls[item.handle];
         call.queueTime = now - item.queuedAt;
-        if (!isAdmitted(call)) {
-            refuse(item.handle, CallRefusalReason::Quarantined);
+        if (const auto reason = reasonNotToSend(call); reason.has_value()) {
+            refuse(item.handle, *reason);
             continue;
         }
         const bool inTime = now < call.deadline;
@@ -447,6 +475,9 @@
     result.table = call.table;
     result.route = call.route;
     result.replica = replica.entry;
+    if (call.organisation != nullptr) {
+        result.organisation = call.organisation->id;
+    }
     const auto service = call.table->services.find(call.service);
     result.tokensPerEvent =
         service == call.table->services.end() ? 0 : service->second.tokensPerEvent;
@@ -536,6 +567,27 @@
         {replica, attempted.dispatchedAt, m_dependencies.clock.now(), observation.atBeginning});
 }
 
+std::optional<CallRefusalReason> CallScheduler::reasonNotToSend(const Call &call)
+{
+    return isAdmitted(call) ? keyProblem(call) : CallRefusalReason::Quarantined;
+}
+
+std::optional<CallRefusalReason> CallScheduler::keyProblem(const Call &call) const
+{
+    const bool isUnchanged = call.organisation == nullptr || call.table == m_table
+        || !m_table->organisations.has_value();
+    if (isUnchanged) {
+        return std::nullopt;
+    }
+    const Organisation *holder = m_table->organisations->findByKey(*call.incoming.key);
+    if (holder == nullptr) {
+        return CallRefusalReason::UnknownKey;
+    }
+    // The key has been given to another organisation; the caller's next attempt is that one's.
+    return holder->id == call.organisation->id ? std::nullopt
+                                               : std::optional(CallRefusalReason::KeysUnconfirmed);
+}
+
 bool CallScheduler::isAdmitted(const Call &call)
 {
     return m_dependencies.quarantine.admits(call.incoming.identity, call.incoming.attempt);
@@ -617,7 +669,8 @@
         const PromptLocation location{call.incoming.session,
                                       completion.answerComplete ? call.lastReplica : ReplicaId()};
         m_dependencies.ledger.settle(
-            {programOf(call.incoming), call.incoming.attempt, completion.tokens}, location);
+            {programOf(call), storedTurn(call, call.incoming.attempt), completion.tokens},
+            location);
     }
     if (call.route != nullptr && completion.answerComplete && isPlacedByObject(call)) {
         m_objects.note(call.service, call.incoming.object, call.lastReplica);
@@ -644,8 +697,9 @@
     };
     m_dependencies.timers.after(call.deadline - m_dependencies.clock.now(),
                                 [answerOnce] { answerOnce(false); });
-    m_dependencies.turns.record(call.incoming.attempt, call.history, std::move(text),
-                                call.route->turnRetention, [answerOnce] { answerOnce(true); });
+    m_dependencies.turns.record(storedTurn(call, call.incoming.attempt), call.history,
+                                std::move(text), call.route->turnRetention,
+                                [answerOnce] { answerOnce(true); });
 }
 
 } // namespace boragepath
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/admission/configuration_lease.h"
 #include "control/call_queue_order.h"
 #include "control/ledger_relay.h"
 #include "control/limited_placement.h"
@@ -66,6 +67,8 @@
     std::string object;
     /** Set if the caller has received the beginning of the stream already. */
     std::optional<StreamResumption> resumption;
+    /** Digest of the caller's API key; none if the request has no key, or several. */
+    std::optional<KeyDigest> key;
     /** New input, on routes that store turns; shared with the connection that received it. */
     Conversation input;
 };
@@ -88,6 +91,10 @@
     StreamVersionGone,
     /** Replica after replica has ended under requests for the same. */
     Quarantined,
+    /** The call has no API key that the configuration knows. */
+    UnknownKey,
+    /** The API keys may have changed since they were last known to be in force. */
+    KeysUnconfirmed,
 };
 
 /** Name of the reason in log lines. */
@@ -113,6 +120,8 @@
     /** Points into `table`. */
     const RoutePolicy *route = nullptr;
     ReplicaEntry replica;
+    /** Whose call it is; none on deployments without organisations and for calls without a key. */
+    std::optional<OrganisationId> organisation;
     /** The limit that the replica had named when it was chosen; none if it had named none. */
     std::optional<RequestRate> replicaLimit;
     /** The request must be sent before this time or not at all; none if there is no limit. */
@@ -166,6 +175,7 @@
         ReplicaLimits &limits;
         SendPermits &permits;
         RequestQuarantine &quarantine;
+        const ConfigurationLease &lease;
         ZoneId zone;
     };
 
@@ -220,6 +230,8 @@
         std::shared_ptr<const RouteTable> table;
         const RoutePolicy *route = nullptr;
         PoolName service;
+        /** Whose call it is; points into the table, and is null if there is none. */
+        const Organisation *organisation = nullptr;
         SteadyTime openedAt;
         SteadyTime deadline;
         ConversationSnapshotPtr history;
@@ -243,8 +255,16 @@
         std::function<void(const CallDecision &)> done;
     };
 
-    /** Sets the call's route, service and deadline; returns a refusal if there is no route. */
-    std::optional<CallRefusal> resolveRoute(Call &call) const;
+    /** Sets the call's route, service, organisation and deadline, or returns why it is refused. */
+    std::optional<CallRefusalReason> resolveRoute(Call &call) const;
+    /** Why a call must not be sent to a replica any more; none if it may. */
+    std::optional<CallRefusalReason> reasonNotToSend(const Call &call);
+    /** The same as far as its API key is concerned, which may have been taken away meanwhile. */
+    std::optional<CallRefusalReason> keyProblem(const Call &call) const;
+    /** The program whose budget the call uses; a call without one is a program of its own. */
+    static ProgramId programOf(const Call &call);
+    /** The id under which the call's organisation stores a turn. */
+    static AttemptId storedTurn(const Call &call, const AttemptId &turn);
     /** Finds out which software version began the stream that the call continues. */
     void findStreamOrigin(CallHandle handle);
     void setStreamOrigin(CallHandle handle, const OriginLookup &lookup);
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -87,10 +87,15 @@
     case CallRefusalReason::NoRoute:
         line.add("host", call.incoming.host);
         break;
+    case CallRefusalReason::KeysUnconfirmed:
+        line.add("configuration_age_ms",
+                 toMillis(m_dependencies.lease.age().value_or(Duration::zero())));
+        break;
     case CallRefusalReason::NoConfiguration:
     case CallRefusalReason::BadCall:
     case CallRefusalReason::DeadlineExceeded:
     case CallRefusalReason::Quarantined:
+    case CallRefusalReason::UnknownKey:
         break;
     }
 }
@@ -129,6 +134,9 @@
             .add("configuration", call.table->version.value())
             .add("left_ms", toMillis(call.deadline - m_dependencies.clock.now()));
     }
+    if (call.organisation != nullptr) {
+        line.add("organisation", call.organisation->id.value());
+    }
     if (call.incoming.resumption.has_value()) {
         line.add("resumes", call.incoming.resumption->firstAttempt.value())
             .add("after_event", call.incoming.resumption->lastEventId)
--- a/control/turn_rows.cpp
+++ b/control/turn_rows.cpp
@@ -14,7 +14,8 @@
 
 /** Below the store's limit of 65,536 bytes per row. */
 constexpr std::size_t MaxTurnRowBytes = 49'152;
-constexpr std::size_t MaxKeyTextBytes = 128;
+/** Leaves room for what is appended to an id in the key of a row, of at most 200 bytes. */
+constexpr std::size_t MaxKeyTextBytes = 160;
 
 RowName turnRowName(const AttemptId &turn, std::size_t index)
 {
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -35,6 +35,8 @@
  * 50 bytes. */
 constexpr std::size_t MaxCrashNewsPerDatagram = 12;
 constexpr std::int64_t BytesPerMegabyte = 1'048'576;
+/** Allows for clocks of VMs and of the store that run at slightly different rates. */
+constexpr Milliseconds LeaseMargin{100};
 constexpr unsigned Unavailable = 503;
 constexpr unsigned NotFound = 404;
 
@@ -49,6 +51,20 @@
     return entry;
 }
 
+/** How long the API keys of a configuration may be relied on after it was read. */
+std::optional<Duration> leaseTerm(const platform::NodeSettings &settings)
+{
+    if (!settings.revocationBound.has_value()) {
+        return std::nullopt;
+    }
+    return std::max(Milliseconds(0), *settings.revocationBound - LeaseMargin);
+}
+
+std::int64_t bootMillis(BootTime time)
+{
+    return toMillis(time.time_since_epoch());
+}
+
 /** Where the VMs that the settings name receive datagrams; the ports are the same on all VMs. */
 std::vector<Endpoint> seedEndpoints(const platform::NodeSettings &settings)
 {
@@ -104,6 +120,7 @@
     , m_health(m_clock)
     , m_store(m_control, m_clock, m_settings.store, m_health,
               [this] { return m_vms.randomVmWithStore(); })
+    , m_lease(m_clock)
     , m_replicas(m_clock)
     , m_ledger(m_clock, m_timers, m_store, m_health, seed)
     , m_turns(m_clock, m_timers, m_store, m_health, maxConversationBytes(m_settings), seed)
@@ -133,12 +150,12 @@
                    })
     , m_quarantineRows(m_clock, m_timers, m_store, m_vms, m_quarantine, seed)
     , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_streams, m_vms,
-                   m_health, m_limits, m_permits, m_quarantine, m_settings.zone})
+                   m_health, m_limits, m_permits, m_quarantine, m_lease, m_settings.zone})
     , m_sweeper(
           m_clock, m_timers, m_store, m_vms,
           [this] { return maxTurnRetention(m_scheduler.routes()); }, seed)
     , m_registry(
-          m_clock, m_timers, m_store, m_replicas,
+          m_clock, m_timers, m_store, m_replicas, m_lease, KeyHasher(m_settings.peerSecret),
           [this](std::shared_ptr<const RouteTable> table) { setRouteTable(std::move(table)); },
           seed)
     , m_peers(m_control, m_settings.peers, m_settings.peerSecret,
@@ -159,6 +176,7 @@
                              return serveStoreCallForPeer(request, responder);
                          })
 {
+    m_lease.setTerm(leaseTerm(m_settings));
     m_storeProxyServer.listen(m_settings.peers);
     m_directoryServer.listen(m_settings.directory);
     m_readyServer.listen(m_settings.ready);
@@ -218,6 +236,8 @@
     }
     // Addresses stay the same for the lifetime of the process; the other settings are reloaded.
     m_settings.stopGrace = settings->stopGrace;
+    m_settings.revocationBound = settings->revocationBound;
+    m_lease.setTerm(leaseTerm(m_settings));
     LogLine("reload").add("outcome", "taken").info();
 }
 
@@ -281,13 +301,14 @@
     }
     peers::Envelope envelope;
     envelope.__set_wantsRegistry(true);
+    envelope.__set_registryAskedAtMillis(bootMillis(m_clock.bootNow()));
     if (const auto to = m_vms.randomLiveVm(); to.has_value()) {
         sendToPeer(*to, envelope);
     }
     m_timers.after(CopyRequestInterval, [this] { requestRegistryCopy(); });
 }
 
-void PlatformDaemon::sendRegistryCopy(const Endpoint &to)
+void PlatformDaemon::sendRegistryCopy(const Endpoint &to, std::optional<std::int64_t> askedAtMillis)
 {
     const platform::RegistryCopy &copy = m_registry.copy();
     if (copy.configuration.empty()) {
@@ -296,11 +317,27 @@
     peers::RegistryCopy message;
     message.configuration = copy.configuration;
     message.registrations = copy.registrations;
+    const std::optional<Duration> age = m_lease.age();
+    if (age.has_value() && askedAtMillis.has_value()) {
+        // Rounded up, so that the other VM does not rely on the copy for longer than this one.
+        message.__set_ageMillis(static_cast<std::int32_t>(toMillis(*age) + 1));
+        message.__set_askedAtMillis(*askedAtMillis);
+    }
     peers::Envelope envelope;
     envelope.__set_registryCopy(message);
     sendToPeer(to, envelope);
 }
 
+void PlatformDaemon::loadRegistryCopy(const peers::RegistryCopy &copy)
+{
+    std::optional<BootTime> confirmedAt;
+    if (copy.__isset.ageMillis && copy.__isset.askedAtMillis) {
+        // The copy was made after the question, so that it is at most this old.
+        confirmedAt = BootTime(Milliseconds(copy.askedAtMillis) - Milliseconds(copy.ageMillis));
+    }
+    m_registry.loadCopy({copy.configuration, copy.registrations}, confirmedAt);
+}
+
 void PlatformDaemon::sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note)
 {
     peers::Envelope envelope;
@@ -356,11 +393,13 @@
         m_permits.receive(*sender, envelope.sendPermit);
     }
     if (envelope.__isset.registryCopy) {
-        m_registry.loadCopy(
-            {envelope.registryCopy.configuration, envelope.registryCopy.registrations});
+        loadRegistryCopy(envelope.registryCopy);
     }
     if (envelope.wantsRegistry && sender.ok()) {
-        sendRegistryCopy(*sender);
+        sendRegistryCopy(*sender,
+                         envelope.__isset.registryAskedAtMillis
+                             ? std::optional(envelope.registryAskedAtMillis)
+                             : std::nullopt);
     }
     m_membership.receive(envelope);
 }
@@ -446,6 +485,8 @@
         formatCounter("boragepath_requests_ended_with_replica_total",
                       m_counters.requestsEndedWithReplica),
         formatCounter("boragepath_calls_quarantined_total", m_counters.quarantinedCalls),
+        formatCounter("boragepath_calls_unauthorized_total", m_counters.unauthorizedCalls),
+        formatCounter("boragepath_calls_keys_unconfirmed_total", m_counters.unconfirmedKeyCalls),
         formatCounter("boragepath_store_calls_total", m_store.calls()),
         formatCounter("boragepath_budget_changes_relayed_total", m_ledgerRelay.forwardedRequests()),
         formatCounter("boragepath_budget_changes_made_here_total", m_ledgerRelay.localFallbacks()),
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -71,7 +71,8 @@
     void stopWhenIdle();
     void setRouteTable(std::shared_ptr<const RouteTable> table);
     void requestRegistryCopy();
-    void sendRegistryCopy(const Endpoint &to);
+    void sendRegistryCopy(const Endpoint &to, std::optional<std::int64_t> askedAtMillis);
+    void loadRegistryCopy(const peers::RegistryCopy &copy);
     void sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note);
     void sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note);
     void sendPermitNote(const Endpoint &to, const peers::SendPermitNote &note);
@@ -99,6 +100,7 @@
 
     StoreHealth m_health;
     platform::StoreClient m_store;
+    ConfigurationLease m_lease;
     ReplicaTable m_replicas;
     ProgramLedger m_ledger;
     TurnArchive m_turns;
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -1981,6 +1981,16 @@
 void RegistryCopy::__set_registrations(const std::map<std::string, std::string> & val) {
   this->registrations = val;
 }
+
+void RegistryCopy::__set_ageMillis(const int32_t val) {
+  this->ageMillis = val;
+__isset.ageMillis = true;
+}
+
+void RegistryCopy::__set_askedAtMillis(const int64_t val) {
+  this->askedAtMillis = val;
+__isset.askedAtMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegistryCopy& obj)
 {
   obj.printTo(out);
@@ -2040,6 +2050,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->askedAtMillis);
+          this->__isset.askedAtMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2074,6 +2100,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ageMillis) {
+    xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->ageMillis);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.askedAtMillis) {
+    xfer += oprot->writeFieldBegin("askedAtMillis", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->askedAtMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2083,17 +2119,23 @@
   using ::std::swap;
   swap(a.configuration, b.configuration);
   swap(a.registrations, b.registrations);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.askedAtMillis, b.askedAtMillis);
   swap(a.__isset, b.__isset);
 }
 
 RegistryCopy::RegistryCopy(const RegistryCopy& other47) {
   configuration = other47.configuration;
   registrations = other47.registrations;
+  ageMillis = other47.ageMillis;
+  askedAtMillis = other47.askedAtMillis;
   __isset = other47.__isset;
 }
 RegistryCopy& RegistryCopy::operator=(const RegistryCopy& other48) {
   configuration = other48.configuration;
   registrations = other48.registrations;
+  ageMillis = other48.ageMillis;
+  askedAtMillis = other48.askedAtMillis;
   __isset = other48.__isset;
   return *this;
 }
@@ -2102,6 +2144,8 @@
   out << "RegistryCopy(";
   out << "configuration=" << to_string(configuration);
   out << ", " << "registrations=" << to_string(registrations);
+  out << ", " << "ageMillis="; (__isset.ageMillis ? (out << to_string(ageMillis)) : (out << "<null>"));
+  out << ", " << "askedAtMillis="; (__isset.askedAtMillis ? (out << to_string(askedAtMillis)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3331,6 +3375,11 @@
   this->requestCrashes = val;
 __isset.requestCrashes = true;
 }
+
+void Envelope::__set_registryAskedAtMillis(const int64_t val) {
+  this->registryAskedAtMillis = val;
+__isset.registryAskedAtMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -3627,6 +3676,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->registryAskedAtMillis);
+          this->__isset.registryAskedAtMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3814,6 +3871,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.registryAskedAtMillis) {
+    xfer += oprot->writeFieldBegin("registryAskedAtMillis", ::apache::thrift::protocol::T_I64, 22);
+    xfer += oprot->writeI64(this->registryAskedAtMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3841,6 +3903,7 @@
   swap(a.sendPermit, b.sendPermit);
   swap(a.replicaLimits, b.replicaLimits);
   swap(a.requestCrashes, b.requestCrashes);
+  swap(a.registryAskedAtMillis, b.registryAskedAtMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -3865,6 +3928,7 @@
   sendPermit = other126.sendPermit;
   replicaLimits = other126.replicaLimits;
   requestCrashes = other126.requestCrashes;
+  registryAskedAtMillis = other126.registryAskedAtMillis;
   __isset = other126.__isset;
 }
 Envelope& Envelope::operator=(const Envelope& other127) {
@@ -3888,6 +3952,7 @@
   sendPermit = other127.sendPermit;
   replicaLimits = other127.replicaLimits;
   requestCrashes = other127.requestCrashes;
+  registryAskedAtMillis = other127.registryAskedAtMillis;
   __isset = other127.__isset;
   return *this;
 }
@@ -3914,6 +3979,7 @@
   out << ", " << "sendPermit="; (__isset.sendPermit ? (out << to_string(sendPermit)) : (out << "<null>"));
   out << ", " << "replicaLimits="; (__isset.replicaLimits ? (out << to_string(replicaLimits)) : (out << "<null>"));
   out << ", " << "requestCrashes="; (__isset.requestCrashes ? (out << to_string(requestCrashes)) : (out << "<null>"));
+  out << ", " << "registryAskedAtMillis="; (__isset.registryAskedAtMillis ? (out << to_string(registryAskedAtMillis)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -853,9 +853,11 @@
 std::ostream& operator<<(std::ostream& out, const VmHeartbeat& obj);
 
 typedef struct _RegistryCopy__isset {
-  _RegistryCopy__isset() : configuration(false), registrations(false) {}
+  _RegistryCopy__isset() : configuration(false), registrations(false), ageMillis(false), askedAtMillis(false) {}
   bool configuration :1;
   bool registrations :1;
+  bool ageMillis :1;
+  bool askedAtMillis :1;
 } _RegistryCopy__isset;
 
 class RegistryCopy : public virtual ::apache::thrift::TBase {
@@ -864,12 +866,16 @@
   RegistryCopy(const RegistryCopy&);
   RegistryCopy& operator=(const RegistryCopy&);
   RegistryCopy() noexcept
-               : configuration() {
+               : configuration(),
+                 ageMillis(0),
+                 askedAtMillis(0) {
   }
 
   virtual ~RegistryCopy() noexcept;
   std::string configuration;
   std::map<std::string, std::string>  registrations;
+  int32_t ageMillis;
+  int64_t askedAtMillis;
 
   _RegistryCopy__isset __isset;
 
@@ -877,12 +883,24 @@
 
   void __set_registrations(const std::map<std::string, std::string> & val);
 
+  void __set_ageMillis(const int32_t val);
+
+  void __set_askedAtMillis(const int64_t val);
+
   bool operator == (const RegistryCopy & rhs) const
   {
     if (!(configuration == rhs.configuration))
       return false;
     if (!(registrations == rhs.registrations))
       return false;
+    if (__isset.ageMillis != rhs.__isset.ageMillis)
+      return false;
+    else if (__isset.ageMillis && !(ageMillis == rhs.ageMillis))
+      return false;
+    if (__isset.askedAtMillis != rhs.__isset.askedAtMillis)
+      return false;
+    else if (__isset.askedAtMillis && !(askedAtMillis == rhs.askedAtMillis))
+      return false;
     return true;
   }
   bool operator != (const RegistryCopy &rhs) const {
@@ -1369,7 +1387,7 @@
 std::ostream& operator<<(std::ostream& out, const RequestCrashNews& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false), registryAskedAtMillis(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -1390,6 +1408,7 @@
   bool sendPermit :1;
   bool replicaLimits :1;
   bool requestCrashes :1;
+  bool registryAskedAtMillis :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1402,7 +1421,8 @@
              fence(0),
              wantsNews(0),
              replyTo(),
-             wantsRegistry(0) {
+             wantsRegistry(0),
+             registryAskedAtMillis(0) {
   }
 
   virtual ~Envelope() noexcept;
@@ -1426,6 +1446,7 @@
   SendPermitNote sendPermit;
   std::vector<ReplicaLimitNews>  replicaLimits;
   std::vector<RequestCrashNews>  requestCrashes;
+  int64_t registryAskedAtMillis;
 
   _Envelope__isset __isset;
 
@@ -1469,6 +1490,8 @@
 
   void __set_requestCrashes(const std::vector<RequestCrashNews> & val);
 
+  void __set_registryAskedAtMillis(const int64_t val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1547,6 +1570,10 @@
       return false;
     else if (__isset.requestCrashes && !(requestCrashes == rhs.requestCrashes))
       return false;
+    if (__isset.registryAskedAtMillis != rhs.__isset.registryAskedAtMillis)
+      return false;
+    else if (__isset.registryAskedAtMillis && !(registryAskedAtMillis == rhs.registryAskedAtMillis))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -123,11 +123,15 @@
 }
 
 // What the sender last read of the operator's configuration and the replicas' registrations,
-// unchanged.
+// unchanged but for API keys, in place of which it has digests.
 struct RegistryCopy {
     1: string configuration;
     // Registrations by replica name.
     2: map<string, string> registrations;
+    // Time since the configuration was last known to be the newest, in milliseconds.
+    3: optional i32 ageMillis;
+    // As in the question that this answers.
+    4: optional i64 askedAtMillis;
 }
 
 enum LedgerNoteKind {
@@ -274,4 +278,6 @@
     18: optional SendPermitNote sendPermit;
     19: optional list<ReplicaLimitNews> replicaLimits;
     20: optional list<RequestCrashNews> requestCrashes;
+    // With wantsRegistry: the asking VM's own time, which the answer repeats.
+    22: optional i64 registryAskedAtMillis;
 }
--- a/tests/control/call_queue_order_test.cpp
+++ b/tests/control/call_queue_order_test.cpp
@@ -134,8 +134,9 @@
         , m_limits(m_clock)
         , m_permits(m_clock, m_timers, m_limits, m_vms, nullptr, 1)
         , m_quarantine(m_clock, m_timers, m_vms, nullptr)
+        , m_lease(m_clock)
         , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_vms, m_health,
-                       m_limits, m_permits, m_quarantine, ZoneId("z")})
+                       m_limits, m_permits, m_quarantine, m_lease, ZoneId("z")})
     {
         auto table = std::make_shared<RouteTable>();
         table->version = ConfigurationVersion(1);
@@ -220,6 +221,7 @@
     ReplicaLimits m_limits;
     SendPermits m_permits;
     RequestQuarantine m_quarantine;
+    ConfigurationLease m_lease;
     CallScheduler m_scheduler;
     std::map<std::string, CallHandle> m_handles;
     std::map<std::string, ReplicaId> m_replicaOf;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -48,6 +48,14 @@
     return request;
 }
 
+CallDispatch dispatchTo(const std::string &replica, RouteTable table)
+{
+    CallDispatch dispatch;
+    dispatch.replica.id = ReplicaId(replica);
+    dispatch.table = std::make_shared<RouteTable>(std::move(table));
+    return dispatch;
+}
+
 } // namespace
 
 // --- Settings ----------------------------------------------------------------
@@ -117,14 +125,16 @@
 
 TEST(ConfigurationCodec, DecodesRoutesServicesAndLimits)
 {
-    const auto table = decodeConfiguration(
+    const auto decoded = decodeConfiguration(
         R"({"version":7,"routes":[{"name":"r","host":"one.example","prefix":"/a/",)"
         R"("kind":"streaming","timeoutMs":4000,"targetLatencyMs":250,"priority":1,)"
         R"("split":[{"service":"x","weight":90},{"service":"y","weight":10}],"maxAttempts":2,)"
         R"("retainContext":true,"keepS":60.5,"sticky":true,"resumable":false}],)"
         R"("services":[{"name":"x","maxConns":210,"engine":{"tokensPerEvent":20}}],)"
-        R"("limits":{"maxHeaderBytes":100,"idleTimeoutMs":15000},"unknown":1})");
-    ASSERT_NE(table, nullptr);
+        R"("limits":{"maxHeaderBytes":100,"idleTimeoutMs":15000},"unknown":1})",
+        KeyHasher("secret"));
+    ASSERT_TRUE(decoded.ok()) << decoded.status().message();
+    const RouteTable *table = decoded->get();
     EXPECT_EQ(table->version, ConfigurationVersion(7));
     const RoutePolicy &route = table->routes.at(0);
     EXPECT_EQ(route.kind, RequestKind::Stream);
@@ -132,7 +142,46 @@
     EXPECT_EQ(route.services.size(), 2U);
     EXPECT_EQ(table->services.at(PoolName("x")).tokensPerEvent, 20);
     EXPECT_EQ(table->limits.maxHeaderBytes, 100);
-    EXPECT_EQ(decodeConfiguration("no json"), nullptr);
+    EXPECT_FALSE(decodeConfiguration("no json", KeyHasher("secret")).ok());
+}
+
+TEST(ConfigurationCodec, DecodesOrganisations)
+{
+    const KeyHasher hasher("secret");
+    const auto decoded = decodeConfiguration(
+        R"({"version":1,"tenants":[{"name":"a","apiKeys":["k1","k2"],"priority":1,"ratePerS":362,)"
+        R"("burst":40.5},{"name":"b","apiKeys":[]}]})",
+        hasher);
+    ASSERT_TRUE(decoded.ok()) << decoded.status().message();
+    const OrganisationTable &table = *(*decoded)->organisations;
+    EXPECT_EQ(table.findByKey(hasher.digestOf("k1")), table.findByKey(hasher.digestOf("k2")));
+    EXPECT_EQ(table.findByKey(hasher.digestOf("k3")), nullptr);
+    const Organisation &first = *table.findByKey(hasher.digestOf("k1"));
+    EXPECT_EQ(first.priority, 1);
+    EXPECT_EQ(first.quota, (RequestQuota{RequestRate(362), 40.5}));
+    EXPECT_FALSE(table.find(OrganisationId("b"))->quota.isLimited());
+    EXPECT_FALSE((*decodeConfiguration(R"({"version":1})", hasher))->organisations.has_value());
+}
+
+TEST(ConfigurationCodec, RejectsInvalidOrganisationsAndNamesTheField)
+{
+    const std::pair<const char *, const char *> cases[] = {
+        {R"({"name":"","apiKeys":["k"]})", "tenants[1].name"},
+        {R"({"name":"b","apiKeys":["k",""]})", "tenants[1].apiKeys[1]"},
+        {R"({"name":"b","apiKeys":["k0"]})", "tenants[1]"},
+        {R"({"name":"a","apiKeys":["k"]})", "tenants[1]"},
+        {R"({"name":"b","ratePerS":-1})", "tenants[1].ratePerS"},
+        {R"({"name":"b","burst":"many"})", "tenants[1].burst"},
+        {R"(["b"])", "tenants[1]"},
+    };
+    for (const auto &[item, path] : cases) {
+        const auto decoded = decodeConfiguration(
+            absl::StrCat(R"({"version":1,"tenants":[{"name":"a","apiKeys":["k0"]},)", item, "]}"),
+            KeyHasher("secret"));
+        ASSERT_FALSE(decoded.ok()) << item;
+        EXPECT_TRUE(absl::StartsWith(std::string(decoded.status().message()), path))
+            << decoded.status().message();
+    }
 }
 
 TEST(Routes, LongestMatchingPrefixOfTheHostIsUsed)
@@ -154,7 +203,8 @@
 
 TEST(CallCodec, DecodesHeadersOfATurn)
 {
-    const DecodedCall decoded = decodeCall(turnRequest(), "input", SteadyTime());
+    const DecodedCall decoded =
+        decodeCall(turnRequest(), "input", SteadyTime(), KeyHasher("secret"));
     ASSERT_EQ(decoded.problem, "");
     EXPECT_EQ(decoded.call.host, "one.example");
     EXPECT_EQ(decoded.call.path, "/a/b");
@@ -171,19 +221,18 @@
     for (const char *name : {"Attempt-Id", "Host"}) {
         HttpRequest twice = turnRequest();
         twice.fields.push_back({name, "another"});
-        EXPECT_NE(decodeCall(twice, "", SteadyTime()).problem, "") << name;
+        EXPECT_NE(decodeCall(twice, "", SteadyTime(), KeyHasher("secret")).problem, "") << name;
         HttpRequest none = turnRequest();
         std::erase_if(none.fields, [&](const HttpField &field) { return field.name == name; });
-        EXPECT_NE(decodeCall(none, "", SteadyTime()).problem, "") << name;
+        EXPECT_NE(decodeCall(none, "", SteadyTime(), KeyHasher("secret")).problem, "") << name;
     }
 }
 
 TEST(CallCodec, ForwardsRequestWithoutHopByHopAndReservedHeaders)
 {
     const ReplicaCodec codec = replicaCodec(turnRequest(), AttemptId("id1"));
-    ReplicaEntry replica;
-    replica.id = ReplicaId("i-1");
-    const std::string head = codec.requestHead(replica, Milliseconds(900), 5, 12);
+    const std::string head =
+        codec.requestHead(dispatchTo("i-1", RouteTable()), Milliseconds(900), 5, 12);
     EXPECT_EQ(head,
               "POST /a/b?c=d HTTP/1.1\r\nHost: one.example:80\r\nAttempt-Id: id1\r\n"
               "Program-Id: p1\r\nToken-Budget: 4704\r\nToken-Usage: 1840,588\r\n"
@@ -191,6 +240,47 @@
               "Expect-Replica: i-1\r\nLast-Event-Id: 12\r\nContent-Length: 5\r\n\r\n");
 }
 
+/** Replicas must not get keys, and must not trust what a caller says about its organisation. */
+TEST(CallCodec, ReplicasGetTheOrganisationInPlaceOfTheKey)
+{
+    HttpRequest request = turnRequest();
+    request.fields.push_back({"Credential", "k1"});
+    request.fields.push_back({"tenant", "forged"});
+    const ReplicaCodec codec = replicaCodec(request, AttemptId("id1"));
+    RouteTable table;
+    {
+        SCOPED_TRACE("without organisations, both headers are the caller's own business");
+        const std::string head =
+            codec.requestHead(dispatchTo("i-1", table), Milliseconds(900), 0, std::nullopt);
+        EXPECT_THAT(head, testing::HasSubstr("Credential: k1\r\ntenant: forged\r\n"));
+    }
+    table.organisations.emplace();
+    CallDispatch dispatch = dispatchTo("i-1", table);
+    for (const bool known : {true, false}) {
+        SCOPED_TRACE(known ? "of a known key" : "on a public route");
+        if (!known) {
+            dispatch.organisation.reset();
+        } else {
+            dispatch.organisation = OrganisationId("a");
+        }
+        const std::string head = codec.requestHead(dispatch, Milliseconds(900), 0, 3);
+        EXPECT_EQ(head.find("k1"), std::string::npos);
+        EXPECT_EQ(head.find("forged"), std::string::npos);
+        EXPECT_EQ(head.find("Tenant: a\r\n") != std::string::npos, known);
+    }
+}
+
+TEST(CallCodec, AKeyThatIsGivenTwiceIsNone)
+{
+    const KeyHasher hasher("secret");
+    HttpRequest request = turnRequest();
+    EXPECT_FALSE(decodeCall(request, "", SteadyTime(), hasher).call.key.has_value());
+    request.fields.push_back({"Credential", "k1"});
+    EXPECT_EQ(decodeCall(request, "", SteadyTime(), hasher).call.key, hasher.digestOf("k1"));
+    request.fields.push_back({"Credential", "k2"});
+    EXPECT_FALSE(decodeCall(request, "", SteadyTime(), hasher).call.key.has_value());
+}
+
 TEST(CallCodec, DecodesExecutionStateAndLoadFromResponseHead)
 {
     const ReplicaCodec codec = replicaCodec(turnRequest(), AttemptId("id1"));
--- a/tests/platform/registry_reader_test.cpp
+++ b/tests/platform/registry_reader_test.cpp
@@ -1,5 +1,6 @@
 // How one VM follows the registry through changes, store outages and compacted history.
 
+#include "platform/registry_codec.h"
 #include "platform/registry_reader.h"
 #include "tests/support/memory_row_store.h"
 
@@ -29,8 +30,9 @@
         : m_timers(m_clock)
         , m_store(m_timers, 1)
         , m_replicas(m_clock)
+        , m_lease(m_clock)
         , m_reader(
-              m_clock, m_timers, m_store, m_replicas,
+              m_clock, m_timers, m_store, m_replicas, m_lease, KeyHasher("secret"),
               [this](std::shared_ptr<const RouteTable> table) { m_version = table->version; }, 1)
     {
         m_store.put({"op", "", "config"}, R"({"version":3})");
@@ -50,6 +52,7 @@
     ManualTimers m_timers;
     MemoryRowStore m_store;
     ReplicaTable m_replicas;
+    ConfigurationLease m_lease;
     RegistryReader m_reader;
     ConfigurationVersion m_version;
 };
@@ -115,13 +118,14 @@
     m_store.faults().unavailable = true;
     ReplicaTable replicas(m_clock);
     ConfigurationVersion version;
+    ConfigurationLease lease(m_clock);
     RegistryReader secondReader(
-        m_clock, m_timers, m_store, replicas,
+        m_clock, m_timers, m_store, replicas, lease, KeyHasher("secret"),
         [&](std::shared_ptr<const RouteTable> table) { version = table->version; }, 2);
     secondReader.start();
     m_timers.run(Seconds(2));
     EXPECT_EQ(version, ConfigurationVersion());
-    secondReader.loadCopy(m_reader.copy());
+    secondReader.loadCopy(m_reader.copy(), std::nullopt);
     EXPECT_EQ(version, ConfigurationVersion(3));
     EXPECT_EQ(replicas.all().size(), 2U);
     {
@@ -130,7 +134,7 @@
         m_store.faults().unavailable = false;
         m_timers.run(Seconds(4));
         EXPECT_EQ(version, ConfigurationVersion(9));
-        secondReader.loadCopy({R"({"version":11})", {}});
+        secondReader.loadCopy({R"({"version":11})", {}}, std::nullopt);
         EXPECT_EQ(version, ConfigurationVersion(9));
     }
 }
@@ -147,4 +151,102 @@
     EXPECT_FALSE(isUsable("a"));
 }
 
+// --- The lease on the configuration -------------------------------------------
+
+namespace {
+
+constexpr Milliseconds LeaseTerm{4'900};
+const std::string WithOrganisations =
+    R"({"version":5,"tenants":[{"name":"a","apiKeys":["key-of-a"]}]})";
+
+class ConfigurationLeaseTest : public RegistryReaderTest
+{
+protected:
+    ConfigurationLeaseTest()
+    {
+        m_lease.setTerm(LeaseTerm);
+        m_store.put({"op", "", "config"}, WithOrganisations);
+        m_timers.run(Seconds(6));
+    }
+};
+
+} // namespace
+
+/** An answer shows what was in force when the read was sent: the store holds it open for a while.
+ */
+TEST_F(ConfigurationLeaseTest, CountsFromTheSendingOfTheLastReadThatWasAnswered)
+{
+    Duration longest{0};
+    for (int step = 0; step < 300; ++step) {
+        m_timers.run(Milliseconds(100));
+        ASSERT_TRUE(m_lease.isValid());
+        longest = std::max(longest, m_lease.age().value());
+    }
+    EXPECT_GE(longest, LeaseTerm / 5);
+}
+
+/** A key that is taken away just after the last read must open nothing after the term. */
+TEST_F(ConfigurationLeaseTest, RunsOutOneTermAfterTheLastReadWasSent)
+{
+    m_store.faults().unavailable = true;
+    m_timers.run(LeaseTerm);
+    EXPECT_FALSE(m_lease.isValid());
+    m_store.faults().unavailable = false;
+    m_timers.run(Seconds(1));
+    EXPECT_TRUE(m_lease.isValid());
+}
+
+/** The steady clock stops while a machine is suspended; the keys may change meanwhile. */
+TEST_F(ConfigurationLeaseTest, RunsOutWhileTheMachineIsSuspended)
+{
+    m_clock.suspend(LeaseTerm);
+    EXPECT_FALSE(m_lease.isValid());
+}
+
+TEST_F(ConfigurationLeaseTest, OfACopyEndsWithThatOfTheVmThatSentIt)
+{
+    m_store.faults().unavailable = true;
+    ReplicaTable replicas(m_clock);
+    ConfigurationLease lease(m_clock);
+    lease.setTerm(LeaseTerm);
+    RegistryReader secondReader(
+        m_clock, m_timers, m_store, replicas, lease, KeyHasher("secret"),
+        [](const std::shared_ptr<const RouteTable> &) {}, 2);
+    secondReader.start();
+    m_timers.run(Seconds(1));
+    {
+        SCOPED_TRACE("of unknown age");
+        secondReader.loadCopy(m_reader.copy(), std::nullopt);
+        EXPECT_FALSE(lease.isValid());
+    }
+    {
+        SCOPED_TRACE("of known age");
+        lease.confirm(m_clock.bootNow() - *m_lease.age());
+        EXPECT_TRUE(lease.isValid());
+        m_timers.run(LeaseTerm - Seconds(1));
+        EXPECT_FALSE(lease.isValid());
+    }
+}
+
+TEST_F(ConfigurationLeaseTest, CopiesForOtherVmsHoldNoKey)
+{
+    EXPECT_EQ(m_reader.copy().configuration.find("key-of-a"), std::string::npos);
+    const auto table = decodeConfiguration(m_reader.copy().configuration, KeyHasher("secret"));
+    ASSERT_TRUE(table.ok()) << table.status().message();
+    const KeyDigest digest = KeyHasher("secret").digestOf("key-of-a");
+    ASSERT_NE((*table)->organisations->findByKey(digest), nullptr);
+    EXPECT_EQ((*table)->organisations->findByKey(digest)->id, OrganisationId("a"));
+}
+
+/** An invalid version must neither take effect in part nor end the service of the valid one. */
+TEST_F(ConfigurationLeaseTest, InvalidVersionLeavesTheOneBeforeInForce)
+{
+    m_store.put(
+        {"op", "", "config"},
+        R"({"version":6,"tenants":[{"name":"a","apiKeys":["k"]},{"name":"b","apiKeys":["k"]}]})");
+    m_timers.run(Seconds(8));
+    EXPECT_EQ(m_version, ConfigurationVersion(5));
+    EXPECT_TRUE(m_lease.isValid());
+}
+
 } // namespace boragepath::platform
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -63,8 +63,9 @@
               },
               index)
         , quarantine(fleet.m_clock, fleet.m_timers, directory, nullptr)
+        , lease(fleet.m_clock)
         , scheduler({fleet.m_clock, fleet.m_timers, replicas, relay, turns, streams, directory,
-                     health, limits, permits, quarantine, ZoneId("z")})
+                     health, limits, permits, quarantine, lease, ZoneId("z")})
     {
         scheduler.setRouteTable(routeTable(fleet.m_setup.hasPrompts));
     }
@@ -80,6 +81,7 @@
     ReplicaLimits limits;
     SendPermits permits;
     RequestQuarantine quarantine;
+    ConfigurationLease lease;
     CallScheduler scheduler;
 };
 
--- a/tests/support/platform_session.cpp
+++ b/tests/support/platform_session.cpp
@@ -34,7 +34,9 @@
     R"({"name":"turn","host":"h","prefix":"/turn/","kind":"streaming","timeoutMs":2000,)"
     R"("service":"app","maxAttempts":2,"resumable":false,"retainContext":true,"keepS":60},)"
     R"({"name":"read","host":"h","prefix":"/read/","kind":"streaming","timeoutMs":2000,)"
-    R"("service":"app","maxAttempts":2,"resumable":true}],)"
+    R"("service":"app","maxAttempts":2,"resumable":true},)"
+    R"({"name":"open","host":"h","prefix":"/open/","kind":"idempotent","timeoutMs":2000,)"
+    R"("service":"app","maxAttempts":2,"public":true}],)"
     R"("services":[{"name":"app","maxConns":200,"engine":{"tokensPerEvent":20}}],)"
     R"("limits":{"maxHeaderBytes":2000,"maxBodyBytes":5000,"headerTimeoutMs":200,"idleTimeoutMs":1000}})";
 
@@ -161,8 +163,9 @@
     , m_limits(m_clock)
     , m_permits(m_clock, m_timers, m_limits, m_vms, nullptr, 1)
     , m_quarantine(m_clock, m_timers, m_vms, nullptr)
+    , m_lease(m_clock)
     , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_vms, m_health,
-                   m_limits, m_permits, m_quarantine, ZoneId("z")})
+                   m_limits, m_permits, m_quarantine, m_lease, ZoneId("z")})
     , m_replicaConnections(m_context.get_executor(), m_clock)
     , m_forwarder(m_context, m_scheduler, m_replicaConnections, m_clock, m_counters)
     , m_front(m_context, FrontEndpoint, m_forwarder, "secret")
@@ -172,10 +175,20 @@
 
 void PlatformSession::configure()
 {
-    const auto table = decodeConfiguration(Configuration);
-    ASSERT_NE(table, nullptr);
-    m_scheduler.setRouteTable(table);
-    m_front.setLimits(table->limits);
+    const auto table = decodeConfiguration(Configuration, KeyHasher("secret"));
+    ASSERT_TRUE(table.ok()) << table.status().message();
+    m_scheduler.setRouteTable(*table);
+    m_front.setLimits((*table)->limits);
+}
+
+void PlatformSession::configureOrganisations(int version, const std::string &organisations)
+{
+    std::string text = Configuration;
+    text.replace(text.find("\"version\":3"), std::string("\"version\":3").size(),
+                 absl::StrCat("\"version\":", version, ",\"tenants\":", organisations));
+    const auto table = decodeConfiguration(text, KeyHasher("secret"));
+    ASSERT_TRUE(table.ok()) << table.status().message();
+    m_scheduler.setRouteTable(*table);
 }
 
 ScriptedReplica &PlatformSession::addReplica(ReplicaBehaviour behaviour, const std::string &version)
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -84,6 +84,8 @@
 
     /** Puts the test's configuration in force. */
     void configure();
+    /** Puts a version of it in force that has @p organisations, a JSON array. */
+    void configureOrganisations(int version, const std::string &organisations);
     /** Starts a replica of the service "app" and registers it. */
     ScriptedReplica &addReplica(ReplicaBehaviour behaviour, const std::string &version = "v1");
     /** Sends bytes on a new connection and reads until @p until arrives or the VM closes it. */
@@ -110,6 +112,7 @@
     ReplicaLimits m_limits;
     SendPermits m_permits;
     RequestQuarantine m_quarantine;
+    ConfigurationLease m_lease;
     CallScheduler m_scheduler;
     ForwardCounters m_counters;
     ReplicaConnectionPool m_replicaConnections;
