Load reports with a pace are read

Cause: replicas that share their machines add a fourth field to Replica-Load; the reader accepted exactly three, so that the scheduler worked without any load reports there.

--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/placement/replica_pace.h"
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/lru_map.h"
@@ -56,6 +57,8 @@
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     std::int64_t slots = 0;
+    /** None if the replica reports no pace, or one that cannot be used. */
+    std::optional<ReplicaPace> pace = std::nullopt;
 };
 
 /** Result and measurements of one request to a replica. */
