Soak: organisations with keys and quotas

--organisations adds organisations to the configuration, gives callers their keys, and withdraws keys, removes organisations, changes quotas and multiplies loads. Checks credentials, tenants, removed and unknown keys, false refusals, turns of other organisations, quotas, and keys in logs and rows.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -30,7 +30,9 @@
 constexpr Milliseconds MaxCrashingPause{2'500};
 constexpr std::int64_t MaxTokensPerTurn = 9 * TokensPerEvent;
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusUnauthorized = 401;
 constexpr unsigned StatusBudgetExhausted = 402;
+constexpr unsigned StatusNotFound = 404;
 constexpr double MillisPerSecond = 1'000;
 constexpr int LoopingProgramTurns = 40;
 /** Fractions of all programs, or of all turns that are followed by a tool call or sub-agents. */
@@ -41,6 +43,11 @@
 constexpr double DisconnectShare = 0.03;
 /** Fraction of resumable streams that their callers break off after some events. */
 constexpr double BreakOffShare = 0.1;
+/** Fraction of requests whose callers set the header Tenant themselves. */
+constexpr double FalseTenantShare = 0.05;
+constexpr Milliseconds MinImproperPause{50};
+constexpr Milliseconds MaxImproperPause{300};
+constexpr double ForeignTurnShare = 0.3;
 
 Milliseconds retryAfterOf(const HttpResponse &response)
 {
@@ -51,6 +58,32 @@
     return Milliseconds(static_cast<std::int64_t>(seconds * MillisPerSecond));
 }
 
+std::vector<HttpField> turnFields(const std::string &session, const Attempt &attempt)
+{
+    std::vector<HttpField> fields{{"Session-Id", session},
+                                  {"Token-Budget", absl::StrCat(attempt.budget)},
+                                  {"Token-Usage", absl::StrCat("100,", MaxTokensPerTurn)}};
+    if (!attempt.previousTurn.empty()) {
+        fields.push_back({"Previous-Turn", attempt.previousTurn});
+    }
+    return fields;
+}
+
+const char *targetOf(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::AtMostOnce:
+        return "/tool/x";
+    case CallKind::Idempotent:
+        return "/look/x";
+    case CallKind::ResumableStream:
+        return "/read/x";
+    case CallKind::StoredTurn:
+        break;
+    }
+    return "/turn/x";
+}
+
 /** A refusal guarantees that the request has not run, so that it is safe to retry. */
 bool isRefusal(unsigned status)
 {
@@ -60,12 +93,15 @@
 } // namespace
 
 Callers::Callers(asio::io_context &context, InvariantChecker &checker,
-                 std::vector<Endpoint> directoryEndpoints, std::uint64_t seed)
+                 std::vector<Endpoint> directoryEndpoints,
+                 const std::vector<SoakOrganisation> &organisations, std::uint64_t seed)
     : m_context(context)
     , m_checker(checker)
     , m_directoryEndpoints(std::move(directoryEndpoints))
     , m_random(seed)
     , m_crashRandom(seed)
+    , m_organisations(organisations)
+    , m_organisationRandom(seed)
 { }
 
 double Callers::randomFraction()
@@ -83,6 +119,9 @@
     asio::co_spawn(m_context, refreshAddresses(), asio::detached);
     asio::co_spawn(m_context, startPrograms(perSecond), asio::detached);
     asio::co_spawn(m_context, sendCrashingRequests(), asio::detached);
+    if (!m_organisations.empty()) {
+        asio::co_spawn(m_context, sendImproperRequests(), asio::detached);
+    }
 }
 
 asio::awaitable<std::vector<Endpoint>> Callers::resolve()
@@ -120,8 +159,10 @@
 
 asio::awaitable<void> Callers::startPrograms(double perSecond)
 {
-    std::exponential_distribution<double> gap(perSecond);
     while (!m_stopped) {
+        const double load =
+            m_organisations.empty() ? 1 : currentLoad(m_organisations) / usualLoad(m_organisations);
+        std::exponential_distribution<double> gap(perSecond * load);
         co_await sleepFor(Milliseconds(static_cast<std::int64_t>(gap(m_random) * MillisPerSecond)));
         Program program;
         program.id = nextId("program");
@@ -129,6 +170,7 @@
         program.turns = isLooping ? LoopingProgramTurns : 1 + static_cast<int>(m_random() % 7);
         program.budget = MaxTokensPerTurn * (isLooping ? 3 : 2 + program.turns);
         program.storesTurns = randomFraction() < StoredTurnShare;
+        joinOrganisation(program);
         asio::co_spawn(m_context, runProgram(program), asio::detached);
     }
 }
@@ -147,13 +189,12 @@
         attempt.kind = Kinds[kind];
         attempt.program = nextId("crashing");
         attempt.input = "crash";
+        attempt.key = keyOf(0);
         std::vector<HttpField> fields;
         if (attempt.kind != CallKind::Idempotent) {
             attempt.budget = MaxTokensPerTurn;
             attempt.maxTokens = MaxTokensPerTurn;
-            fields = {{"Session-Id", attempt.program},
-                      {"Token-Budget", absl::StrCat(attempt.budget)},
-                      {"Token-Usage", absl::StrCat("100,", MaxTokensPerTurn)}};
+            fields = turnFields(attempt.program, attempt);
         }
         const std::string target = absl::StrCat(prefixes[kind], "/crash");
         asio::co_spawn(m_context, callWithRetries(attempt, target, fields),
@@ -161,6 +202,96 @@
     }
 }
 
+std::string Callers::keyOf(std::size_t organisation)
+{
+    if (m_organisations.empty()) {
+        return "";
+    }
+    const std::vector<SoakKey> &keys = m_organisations[organisation].keys;
+    return keys[m_organisationRandom() % keys.size()].text;
+}
+
+void Callers::joinOrganisation(Program &program)
+{
+    if (m_organisations.empty()) {
+        return;
+    }
+    std::vector<double> loads;
+    for (const SoakOrganisation &organisation : m_organisations) {
+        loads.push_back(organisation.load * organisation.loadFactor);
+    }
+    std::discrete_distribution<std::size_t> distribution(loads.begin(), loads.end());
+    program.organisation = distribution(m_organisationRandom);
+    program.key = keyOf(program.organisation);
+}
+
+std::vector<HttpField> Callers::organisationFields(const Attempt &attempt)
+{
+    std::vector<HttpField> fields;
+    if (!attempt.key.empty()) {
+        fields.push_back({"Credential", attempt.key});
+    }
+    std::uniform_real_distribution<double> fraction(0, 1);
+    if (!m_organisations.empty() && fraction(m_organisationRandom) < FalseTenantShare) {
+        const std::size_t other = m_organisationRandom() % m_organisations.size();
+        fields.push_back({"Tenant", m_organisations[other].name});
+    }
+    return fields;
+}
+
+Attempt Callers::strangerAttempt()
+{
+    constexpr CallKind Kinds[] = {CallKind::AtMostOnce, CallKind::Idempotent,
+                                  CallKind::ResumableStream, CallKind::StoredTurn};
+    Attempt attempt;
+    attempt.kind = Kinds[m_organisationRandom() % std::size(Kinds)];
+    // Parts and extensions of a key must be refused like any other unknown key.
+    const std::string key = keyOf(m_organisationRandom() % m_organisations.size());
+    const std::string keys[] = {"", "", key.substr(0, key.size() - 1), absl::StrCat(key, "0")};
+    attempt.key = keys[m_organisationRandom() % std::size(keys)];
+    return attempt;
+}
+
+std::optional<Attempt> Callers::foreignTurn()
+{
+    const std::size_t own = m_organisationRandom() % m_organisations.size();
+    const std::size_t other = m_organisationRandom() % m_organisations.size();
+    const auto latest = m_latestTurns.find(other);
+    if (own == other || latest == m_latestTurns.end()) {
+        return std::nullopt;
+    }
+    Attempt attempt;
+    attempt.kind = CallKind::StoredTurn;
+    attempt.previousTurn = latest->second;
+    attempt.key = keyOf(own);
+    return attempt;
+}
+
+asio::awaitable<void> Callers::sendImproperRequests()
+{
+    std::uniform_int_distribution<std::int64_t> pause(MinImproperPause.count(),
+                                                      MaxImproperPause.count());
+    std::uniform_real_distribution<double> fraction(0, 1);
+    while (!m_stopped) {
+        co_await sleepFor(Milliseconds(pause(m_organisationRandom)));
+        std::optional<Attempt> foreign;
+        if (fraction(m_organisationRandom) < ForeignTurnShare) {
+            foreign = foreignTurn();
+        }
+        Attempt attempt = foreign.has_value() ? *foreign : strangerAttempt();
+        attempt.program = nextId("improper");
+        attempt.input = "improper";
+        std::vector<HttpField> fields;
+        if (attempt.kind == CallKind::ResumableStream || attempt.kind == CallKind::StoredTurn) {
+            attempt.budget = MaxTokensPerTurn;
+            attempt.maxTokens = MaxTokensPerTurn;
+            fields = turnFields(attempt.program, attempt);
+        }
+        asio::co_spawn(m_context, callWithRetries(attempt, targetOf(attempt.kind), fields),
+                       [](const std::exception_ptr &, const std::string &) {});
+    }
+}
+
 asio::awaitable<void> Callers::runProgram(Program program)
 {
     m_activePrograms += 1;
@@ -181,25 +312,23 @@
         attempt.maxTokens = MaxTokensPerTurn;
         attempt.previousTurn = program.storesTurns ? previous : "";
         attempt.input = std::string(200 + m_random() % 6'000, static_cast<char>('a' + turn % 26));
-        std::vector<HttpField> fields{{"Session-Id", session},
-                                      {"Token-Budget", absl::StrCat(program.budget)},
-                                      {"Token-Usage", absl::StrCat("100,", MaxTokensPerTurn)}};
-        if (!attempt.previousTurn.empty()) {
-            fields.push_back({"Previous-Turn", attempt.previousTurn});
-        }
-        const char *target = program.storesTurns ? "/turn/x" : "/read/x";
-        previous = co_await callWithRetries(attempt, target, fields);
+        attempt.key = program.key;
+        const std::vector<HttpField> fields = turnFields(session, attempt);
+        previous = co_await callWithRetries(attempt, targetOf(attempt.kind), fields);
         if (previous.empty()) {
             co_return false;
         }
+        if (program.storesTurns) {
+            m_latestTurns[program.organisation] = previous;
+        }
         if (randomFraction() < ToolShare) {
             Attempt tool;
             tool.kind = randomFraction() < 0.5 ? CallKind::AtMostOnce : CallKind::Idempotent;
             tool.program = program.id;
             tool.input = "tool input";
+            tool.key = program.key;
             const std::vector<HttpField> toolFields{{"Session-Id", session}};
-            const char *path = tool.kind == CallKind::AtMostOnce ? "/tool/x" : "/look/x";
-            co_await callWithRetries(tool, path, toolFields);
+            co_await callWithRetries(tool, targetOf(tool.kind), toolFields);
         }
         if (randomFraction() < SubAgentShare) {
             asio::co_spawn(m_context, runConversation(program, nextId("session"), previous, 2),
@@ -226,7 +355,9 @@
         if (attemptResult.status == StatusOk && attemptResult.complete) {
             co_return id;
         }
-        if (attemptResult.status == StatusBudgetExhausted) {
+        if (attemptResult.status == StatusBudgetExhausted
+            || attemptResult.status == StatusUnauthorized
+            || attemptResult.status == StatusNotFound) {
             co_return "";
         }
         const bool streams = attempt.maxTokens > 0;
@@ -255,6 +386,8 @@
     request.fields.push_back({"Attempt-Id", id});
     request.fields.push_back({"Program-Id", attempt.program});
     request.fields.push_back({"Deadline-Ms", absl::StrCat(CallDeadline.count())});
+    const std::vector<HttpField> identity = organisationFields(attempt);
+    request.fields.insert(request.fields.end(), identity.begin(), identity.end());
     if (attempt.received.has_value()) {
         request.fields.push_back({"Resumes", attempt.received->firstAttempt});
         request.fields.push_back({"Last-Event-Id", absl::StrCat(attempt.received->events)});
@@ -291,7 +424,7 @@
 
 asio::awaitable<bool> Callers::probe(Endpoint frontEndpoint)
 {
-    const Attempt tool{CallKind::AtMostOnce, nextId("probe"), "tool input", "", 0, 0, {}};
+    const Attempt tool{CallKind::AtMostOnce, nextId("probe"), "tool input", "", 0, 0, {}, keyOf(0)};
     const std::string toolId = nextId("call");
     m_checker.recordSent(toolId, tool, frontEndpoint);
     const std::vector<HttpField> noFields;
@@ -304,12 +437,11 @@
                        "",
                        MaxTokensPerTurn * 4,
                        MaxTokensPerTurn,
-                       {}};
+                       {},
+                       keyOf(0)};
     const std::string turnId = nextId("call");
     m_checker.recordSent(turnId, turn, frontEndpoint);
-    const std::vector<HttpField> fields{{"Session-Id", "probe"},
-                                        {"Token-Budget", absl::StrCat(turn.budget)},
-                                        {"Token-Usage", absl::StrCat("100,", MaxTokensPerTurn)}};
+    const std::vector<HttpField> fields = turnFields("probe", turn);
     const AttemptResult turnResult =
         co_await callOnce(frontEndpoint, turnId, turn, "/turn/x", fields);
     m_checker.recordResult(turnId, turnResult);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -8,6 +8,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -21,9 +23,13 @@
 class Callers
 {
 public:
-    /** @param directoryEndpoints where the VMs answer address lookups. */
+    /**
+     * @param directoryEndpoints where the VMs answer address lookups.
+     * @param organisations to which the callers belong, with their current loads; may be empty.
+     */
     Callers(boost::asio::io_context &context, InvariantChecker &checker,
-            std::vector<Endpoint> directoryEndpoints, std::uint64_t seed);
+            std::vector<Endpoint> directoryEndpoints,
+            const std::vector<SoakOrganisation> &organisations, std::uint64_t seed);
 
     /** Starts programs at an average rate of @p perSecond until stop() is called. */
     void start(double perSecond);
@@ -37,6 +43,9 @@
     struct Program
     {
         std::string id;
+        /** Index of its organisation, and the key that it sends; empty without organisations. */
+        std::size_t organisation = 0;
+        std::string key;
         std::int64_t budget = 0;
         int turns = 0;
         bool storesTurns = false;
@@ -46,6 +55,16 @@
     boost::asio::awaitable<void> runProgram(Program program);
     /** Sends requests that crash the replicas that run them, again and again, at any VM. */
     boost::asio::awaitable<void> sendCrashingRequests();
+    /** Sends requests without a key, with unknown keys, and turns that continue other's turns. */
+    boost::asio::awaitable<void> sendImproperRequests();
+    /** A request without a key or with one that was never configured. */
+    Attempt strangerAttempt();
+    /** A turn that continues the latest turn of another organisation, if there is one. */
+    std::optional<Attempt> foreignTurn();
+    /** Assigns a program to an organisation, in proportion to their loads, and to a key of it. */
+    void joinOrganisation(Program &program);
+    std::string keyOf(std::size_t organisation);
+    std::vector<HttpField> organisationFields(const Attempt &attempt);
     /** Runs turns one after the other; sub-agents continue from the latest turn. */
     boost::asio::awaitable<bool> runConversation(Program program, std::string session,
                                                  std::string previous, int turns);
@@ -70,6 +89,11 @@
     std::mt19937_64 m_random;
     /** Draws for crashing requests alone, so that the programs of a seed stay the same. */
     std::mt19937_64 m_crashRandom;
+    const std::vector<SoakOrganisation> &m_organisations;
+    /** Draws for organisations alone. */
+    std::mt19937_64 m_organisationRandom;
+    /** The latest stored turn of each organisation by index. */
+    std::map<std::size_t, std::string> m_latestTurns;
     std::uint64_t m_nextId = 1;
     bool m_stopped = false;
     int m_activePrograms = 0;
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -29,6 +29,9 @@
 /** A killed process has exited after this time. */
 constexpr Milliseconds ProcessExitTimeout{1'000};
 constexpr int MaxActiveFaults = 4;
+/** Some changes of organisations outlast the time after which a removed key must not be used. */
+constexpr Milliseconds MinOrganisationFault{500};
+constexpr Milliseconds MaxOrganisationFault{10'000};
 
 json::object route(const char *name, const char *prefix, const char *kind, const char *service)
 {
@@ -37,7 +40,7 @@
             {"maxAttempts", 2},   {"gapAimMs", 300}};
 }
 
-json::array routes()
+json::array routes(bool hasOrganisations)
 {
     json::object turn = route("turn", "/turn/", "streaming", "engine");
     turn["retainContext"] = true;
@@ -48,7 +51,11 @@
     read["sticky"] = true;
     json::object tool = route("tool", "/tool/", "non_idempotent", "app");
     tool["maxAttempts"] = 1;
-    return {turn, read, tool, route("look", "/look/", "idempotent", "app")};
+    json::object look = route("look", "/look/", "idempotent", "app");
+    if (hasOrganisations) {
+        look["public"] = true;
+    }
+    return {turn, read, tool, look};
 }
 
 void writeRegistration(Deployment &deployment, const ReplicaSite &site)
@@ -81,16 +88,22 @@
                      {"maxConns", 400},
                      {"engine", json::object{{"tokensPerEvent", 20}, {"slots", 8}}}},
         json::object{{"name", "app"}, {"maxConns", 400}}};
-    const json::object configuration{{"version", deployment.configurationVersion},
-                                     {"routes", routes()},
-                                     {"services", services},
-                                     {"limits",
-                                      json::object{{"maxHeaderBytes", 8'000},
-                                                   {"maxBodyBytes", 200'000},
-                                                   {"headerTimeoutMs", 3'000},
-                                                   {"idleTimeoutMs", 10'000}}}};
+    json::object configuration{{"version", deployment.configurationVersion},
+                               {"routes", routes(!deployment.organisations.empty())},
+                               {"services", services},
+                               {"limits",
+                                json::object{{"maxHeaderBytes", 8'000},
+                                             {"maxBodyBytes", 200'000},
+                                             {"headerTimeoutMs", 3'000},
+                                             {"idleTimeoutMs", 10'000}}}};
+    const std::vector<OrganisationEntry> entries =
+        configuredOrganisations(deployment.organisations);
+    if (!deployment.organisations.empty()) {
+        configuration["tenants"] = encodeTenants(entries);
+    }
     deployment.store.table().apply(
         {{}, {{{"op", "", "config"}, json::serialize(configuration)}}, {}});
+    deployment.onConfiguration(entries);
 }
 
 std::string newReplicaId(Deployment &deployment)
@@ -107,6 +120,7 @@
     site.replica =
         std::make_unique<PlatformReplica>(deployment.context, site.realEndpoint, identity,
                                           deployment.onRequestRun, deployment.seed++);
+    site.replica->onReceive(deployment.onReceive);
     site.replica->onCrash([&deployment, id = identity.id] { deployment.onReplicaCrash(id); });
     site.link->setListening(true);
     deployment.onReplicaStart(identity.id);
@@ -178,9 +192,9 @@
     }
 }
 
-asio::awaitable<void> FaultInjector::injectRandomFault()
+std::vector<FaultInjector::FaultAction> FaultInjector::faultActions()
 {
-    const std::vector<FaultAction> faultActions = {
+    return {
         [this] { return killVms(1); },
         [this] { return killVms(1); },
         [this] { return killVms(m_deployment.fleet.size() / 2); },
@@ -220,7 +234,28 @@
             co_return;
         },
     };
-    const FaultAction &injectFault = faultActions[randomIndex(faultActions.size())];
+}
+
+std::vector<FaultInjector::FaultAction> FaultInjector::organisationFaultActions()
+{
+    if (m_deployment.organisations.empty()) {
+        return {};
+    }
+    return {
+        [this] { return withdrawKeys(false); },  [this] { return withdrawKeys(false); },
+        [this] { return withdrawKeys(true); },   [this] { return toggleOrganisation(); },
+        [this] { return toggleOrganisation(); }, [this] { return changeQuota(); },
+        [this] { return changeQuota(); },        [this] { return multiplyLoad(); },
+        [this] { return multiplyLoad(); },
+    };
+}
+
+asio::awaitable<void> FaultInjector::injectRandomFault()
+{
+    std::vector<FaultAction> actions = faultActions();
+    const std::vector<FaultAction> organisationActions = organisationFaultActions();
+    actions.insert(actions.end(), organisationActions.begin(), organisationActions.end());
+    const FaultAction &injectFault = actions[randomIndex(actions.size())];
     try {
         co_await injectFault();
     } catch (const std::exception &failure) {
@@ -279,40 +314,40 @@
     using Outage = RowServerFaults::Outage;
     constexpr Outage Kinds[] = {Outage::Silent, Outage::Busy, Outage::Throttling};
     logEvent("the store is away");
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(std::nullopt, true);
     m_deployment.store.faults().outage = Kinds[randomIndex(3)];
     co_await sleepRandomly(Milliseconds(500), Milliseconds(5'000));
     m_deployment.store.faults().outage = Outage::None;
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(std::nullopt, false);
 }
 
 asio::awaitable<void> FaultInjector::slowDownStore()
 {
     logEvent("the store is slow");
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(std::nullopt, true);
     m_deployment.store.faults().delay = Milliseconds(100 + randomIndex(300));
     co_await sleepRandomly(Milliseconds(500), Milliseconds(4'000));
     m_deployment.store.faults().delay = Milliseconds(0);
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(std::nullopt, false);
 }
 
 asio::awaitable<void> FaultInjector::loseStoreAnswers()
 {
     logEvent("the store loses answers and delays writes");
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(std::nullopt, true);
     m_deployment.store.faults().lostAnswers = 0.2;
     m_deployment.store.faults().delayedWrites = 0.1;
     co_await sleepRandomly(Milliseconds(500), Milliseconds(4'000));
     m_deployment.store.faults().lostAnswers = 0;
     m_deployment.store.faults().delayedWrites = 0;
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(std::nullopt, false);
 }
 
 asio::awaitable<void> FaultInjector::disruptStoreLink()
 {
     const std::size_t vm = randomIndex(m_deployment.storeLinks.size());
     LinkProxy &link = *m_deployment.storeLinks[vm];
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(vm, true);
     logEvent(absl::StrCat("link from VM ", vm, " to the store: fault"));
     switch (randomIndex(3)) {
     case 0:
@@ -328,7 +363,7 @@
     }
     co_await sleepRandomly(Milliseconds(500), Milliseconds(5'000));
     link.faults() = {};
-    m_deployment.onStoreDisruption();
+    m_deployment.onStoreDisruption(vm, false);
 }
 
 asio::awaitable<void> FaultInjector::injectReplicaFault()
@@ -439,6 +474,73 @@
     }
 }
 
+SoakOrganisation &FaultInjector::randomOrganisation()
+{
+    return m_deployment.organisations[randomIndex(m_deployment.organisations.size())];
+}
+
+asio::awaitable<void> FaultInjector::keepConfiguration(std::string event)
+{
+    logEvent(event);
+    writeConfiguration(m_deployment);
+    co_await sleepRandomly(MinOrganisationFault, MaxOrganisationFault);
+    logEvent(absl::StrCat("ends: ", event));
+}
+
+asio::awaitable<void> FaultInjector::withdrawKeys(bool all)
+{
+    SoakOrganisation &organisation = randomOrganisation();
+    const std::size_t first = randomIndex(organisation.keys.size());
+    const std::size_t count = all ? organisation.keys.size() : 1;
+    const auto change = [&](int difference) {
+        for (std::size_t index = 0; index < count; ++index) {
+            organisation.keys[(first + index) % organisation.keys.size()].withdrawals += difference;
+        }
+    };
+    change(1);
+    co_await keepConfiguration(
+        absl::StrCat(organisation.name, " loses ", all ? "all keys" : "a key"));
+    change(-1);
+    writeConfiguration(m_deployment);
+}
+
+asio::awaitable<void> FaultInjector::toggleOrganisation()
+{
+    SoakOrganisation &organisation = randomOrganisation();
+    const int difference = organisation.removals > 0 ? -1 : 1;
+    organisation.removals += difference;
+    co_await keepConfiguration(
+        absl::StrCat(organisation.name, difference > 0 ? " is removed" : " is added"));
+    organisation.removals -= difference;
+    writeConfiguration(m_deployment);
+}
+
+asio::awaitable<void> FaultInjector::changeQuota()
+{
+    // Powers of two, so that the product of overlapping changes is exact.
+    constexpr double Factors[] = {0.25, 0.5, 2, 4};
+    SoakOrganisation &organisation = randomOrganisation();
+    const double factor = Factors[randomIndex(4)];
+    organisation.quotaFactor *= factor;
+    organisation.priority = static_cast<int>(randomIndex(3));
+    co_await keepConfiguration(absl::StrCat("quota of ", organisation.name, " times ", factor));
+    organisation.quotaFactor /= factor;
+    writeConfiguration(m_deployment);
+}
+
+asio::awaitable<void> FaultInjector::multiplyLoad()
+{
+    constexpr double LoadFactor = 7;
+    SoakOrganisation &organisation = randomOrganisation();
+    if (organisation.loadFactor > 1) {
+        co_return;
+    }
+    logEvent(absl::StrCat("load of ", organisation.name, " times ", LoadFactor));
+    organisation.loadFactor = LoadFactor;
+    co_await sleepRandomly(MinOrganisationFault, MaxOrganisationFault);
+    organisation.loadFactor = 1;
+}
+
 void FaultInjector::nameLimit(std::size_t index, std::optional<double> limit)
 {
     const ReplicaSite &site = m_deployment.replicas[index];
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/fleet.h"
+#include "soak/organisations.h"
 #include "standin/link_proxy.h"
 #include "standin/platform_replica.h"
 #include "standin/row_server.h"
@@ -70,8 +71,14 @@
     std::function<void(const std::string &replica, std::optional<double> limit)> onLimit;
     /** Ends the process of a replica that runs a request which crashes it. */
     std::function<void(const std::string &replica)> onReplicaCrash;
-    /** The store, or a VM's way to it, begins or ceases to be disrupted. */
-    std::function<void()> onStoreDisruption;
+    /** The store, or only the link of one VM to it, begins or ceases to be disrupted. */
+    std::function<void(std::optional<std::size_t> vm, bool begins)> onStoreDisruption;
+    /** A request arrived at a replica, which may refuse it. */
+    PlatformReplica::OnRequestRun onReceive;
+    /** The store confirmed a version of the configuration with these organisations. */
+    std::function<void(const std::vector<OrganisationEntry> &entries)> onConfiguration;
+    /** Empty for a deployment without organisations. */
+    std::vector<SoakOrganisation> organisations;
     std::int64_t configurationVersion = 0;
     std::uint64_t nextReplica = 1;
     std::uint64_t seed = 0;
@@ -100,6 +107,17 @@
     using FaultAction = std::function<boost::asio::awaitable<void>()>;
 
     boost::asio::awaitable<void> injectRandomFault();
+    std::vector<FaultAction> faultActions();
+    std::vector<FaultAction> organisationFaultActions();
+    /** Takes one key of an organisation away, or all of them, and gives them back later. */
+    boost::asio::awaitable<void> withdrawKeys(bool all);
+    /** An organisation is removed for some time; one that was absent is added. */
+    boost::asio::awaitable<void> toggleOrganisation();
+    boost::asio::awaitable<void> changeQuota();
+    /** An organisation sends many times its usual load. */
+    boost::asio::awaitable<void> multiplyLoad();
+    SoakOrganisation &randomOrganisation();
+    boost::asio::awaitable<void> keepConfiguration(std::string event);
     boost::asio::awaitable<void> restartVm(std::size_t vm);
     boost::asio::awaitable<void> killVms(std::size_t count);
     boost::asio::awaitable<void> pauseVm();
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -64,7 +64,8 @@
          << "listen.directory=" << config.address << ":" << DirectoryPort << "\n"
          << "internalPorts=7380,7395\nseeds=" << absl::StrJoin(seeds, ",") << "\n"
          << "limits.memoryMb=140\nbounds.graceS=8\n"
-         << "platform.addr=" << config.store.text() << "\npeers.secret=soak\n";
+         << "platform.addr=" << config.store.text() << "\npeers.secret=soak\n"
+         << config.settings;
 }
 
 Endpoint Fleet::frontEndpoint(std::size_t vm) const
@@ -82,7 +83,7 @@
     if (isRunning(index)) {
         return;
     }
-    m_onDisruption(index);
+    m_onDisruption(index, false);
     Vm &vm = m_vms[index];
     const std::string log = absl::StrCat(m_folder, "/", vm.config.name, ".log");
     posix_spawn_file_actions_t fileActions;
@@ -116,7 +117,7 @@
     vm.terminationRequested =
         vm.terminationRequested || signalNumber == SIGKILL || signalNumber == SIGTERM;
     if (signalNumber != SIGHUP) {
-        m_onDisruption(index);
+        m_onDisruption(index, signalNumber == SIGSTOP);
     }
     kill(vm.process, signalNumber);
 }
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -21,6 +21,8 @@
     Endpoint store;
     /** Addresses of the VMs that it contacts to join. */
     std::vector<std::string> seeds;
+    /** Further lines of its settings. */
+    std::string settings;
 };
 
 /** The daemon processes of the soak. Signals only processes that it started, by process id. */
@@ -36,8 +38,11 @@
     std::size_t size() const { return m_vms.size(); }
     /** Starts the process of a VM unless it runs; throws std::runtime_error if it cannot. */
     void start(std::size_t vm);
-    /** Sets a task to run when a VM is started or gets a signal that ends or pauses it. */
-    void onDisruption(std::function<void(std::size_t vm)> task)
+    /**
+     * Sets a task to run when a VM is started or gets a signal that ends, pauses or continues it;
+     * it does not run afterwards if @p paused.
+     */
+    void onDisruption(std::function<void(std::size_t vm, bool paused)> task)
     {
         m_onDisruption = std::move(task);
     }
@@ -65,7 +70,7 @@
     std::string m_executable;
     std::string m_folder;
     std::vector<Vm> m_vms;
-    std::function<void(std::size_t vm)> m_onDisruption = [](std::size_t) {};
+    std::function<void(std::size_t vm, bool paused)> m_onDisruption = [](std::size_t, bool) {};
     int m_unexpectedExits = 0;
 };
 
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -16,6 +16,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -40,6 +41,7 @@
   --replicas N       Number of model replicas; half as many run a plain service [default: 6].
   --programs N       Programs started per second [default: 8].
   --network N        Second octet of the loopback addresses, 1 to 250 [default: 77].
+  --organisations    Callers belong to organisations with API keys and quotas, which change.
   -h --help          Show this text.
 
 Exit codes: 0 all promises were kept, 1 one was broken, 2 the deployment did not recover,
@@ -73,6 +75,7 @@
     std::size_t replicas = 6;
     double programsPerSecond = 8;
     int network = 77;
+    bool organisations = false;
 };
 
 std::string loopbackAddress(const Options &options, std::size_t host)
@@ -87,6 +90,7 @@
         VmConfig config;
         config.name = absl::StrCat("vm-", vm);
         config.address = loopbackAddress(options, 10 + vm);
+        config.settings = options.organisations ? organisationSettings() : "";
         config.store = {loopbackAddress(options, 1),
                         static_cast<std::uint16_t>(StoreLinkPort + vm)};
         for (std::size_t seed = 0; seed < std::min<std::size_t>(3, options.vms); ++seed) {
@@ -184,6 +188,22 @@
     return violated ? ExitViolation : outcome.recovered ? 0 : ExitNotRecovered;
 }
 
+/** Reports files of the VMs and rows of the store that contain an API key. */
+void checkForKeys(const Options &options, const RowTable &table, InvariantChecker &checker)
+{
+    for (const auto &file : std::filesystem::directory_iterator(options.folder)) {
+        std::ifstream stream(file.path());
+        const std::string text{std::istreambuf_iterator<char>(stream), {}};
+        checker.checkHasNoKey(file.path().filename().string(), text);
+    }
+    for (const auto &[name, row] : table.rows()) {
+        if (name.table != "op" || name.key != "config") {
+            checker.checkHasNoKey(absl::StrCat("row ", name.table, "/", name.key),
+                                  absl::StrCat(name.partition, name.key, row.value));
+        }
+    }
+}
+
 int runSoak(const Options &options)
 {
     const SystemClock clock;
@@ -191,25 +211,37 @@
     InvariantChecker checker(clock);
     RowServer store(context, {loopbackAddress(options, 1), StorePort}, options.seed);
     Fleet fleet(options.daemon, options.folder, vmConfigsOf(options));
-    Deployment deployment{context,
-                          fleet,
-                          store,
-                          {},
-                          {},
-                          [&](const HttpRequest &request, const std::string &replica) {
-                              checker.recordRun(request, replica);
-                          },
-                          [&](const std::string &replica) { checker.recordReplicaStart(replica); },
-                          [&](const std::string &replica, std::optional<double> limit) {
-                              checker.recordLimit(replica, limit);
-                          },
-                          [](const std::string &) {},
-                          [&] { checker.recordStoreDisruption(); },
-                          0,
-                          1,
-                          options.seed};
-    fleet.onDisruption(
-        [&](std::size_t vm) { checker.recordVmDisruption(fleet.frontEndpoint(vm)); });
+    Deployment deployment{
+        context,
+        fleet,
+        store,
+        {},
+        {},
+        [&](const HttpRequest &request, const std::string &replica) {
+            checker.recordRun(request, replica);
+        },
+        [&](const std::string &replica) { checker.recordReplicaStart(replica); },
+        [&](const std::string &replica, std::optional<double> limit) {
+            checker.recordLimit(replica, limit);
+        },
+        [](const std::string &) {},
+        [&](std::optional<std::size_t> vm, bool begins) {
+            checker.recordStoreDisruption(
+                vm.has_value() ? std::optional(fleet.frontEndpoint(*vm)) : std::nullopt, begins);
+        },
+        [&](const HttpRequest &request, const std::string &replica) {
+            checker.recordReceived(request, replica);
+        },
+        [&](const std::vector<OrganisationEntry> &entries) {
+            checker.recordConfiguration(entries);
+        },
+        options.organisations ? makeOrganisations(options.seed) : std::vector<SoakOrganisation>(),
+        0,
+        1,
+        options.seed};
+    fleet.onDisruption([&](std::size_t vm, bool paused) {
+        checker.recordVmDisruption(fleet.frontEndpoint(vm), paused);
+    });
     std::vector<Endpoint> directoryEndpoints;
     for (std::size_t vm = 0; vm < options.vms; ++vm) {
         const Endpoint link{loopbackAddress(options, 1),
@@ -228,7 +260,8 @@
     }
     writeConfiguration(deployment);
     Outcome outcome;
-    Callers callers(context, checker, directoryEndpoints, options.seed + 1);
+    Callers callers(context, checker, directoryEndpoints, deployment.organisations,
+                    options.seed + 1);
     FaultInjector faultInjector(deployment, options.seed);
     asio::co_spawn(context, renewRegistrations(deployment, outcome.done), asio::detached);
     asio::co_spawn(context, runScenario(options, deployment, callers, faultInjector, outcome),
@@ -246,6 +279,7 @@
         context.run_one();
     }
     checker.finish();
+    checkForKeys(options, store.table(), checker);
     const int exitCode = report(options, checker, faultInjector, callers, fleet, outcome);
     return outcome.interrupted ? ExitInterrupted : exitCode;
 }
@@ -264,6 +298,7 @@
     options.vms = static_cast<std::size_t>(integerOption("--vms"));
     options.replicas = static_cast<std::size_t>(integerOption("--replicas"));
     options.programsPerSecond = static_cast<double>(integerOption("--programs"));
+    options.organisations = arguments.at("--organisations").asBool();
     options.network = static_cast<int>(integerOption("--network"));
     return runSoak(options);
 }
--- a/standin/platform_replica.cpp
+++ b/standin/platform_replica.cpp
@@ -27,6 +27,7 @@
 constexpr int MinEventCount = 3;
 constexpr int EventCountRange = 6;
 constexpr int Slots = 8;
+constexpr std::size_t MaxRunsKept = 10'000;
 constexpr Milliseconds ProcessingTime{15};
 
 asio::awaitable<bool> write(const std::shared_ptr<tcp::socket> &socket, std::string bytes)
@@ -64,6 +65,11 @@
 
 } // namespace
 
+CallerIdentity callerIdentityOf(const HttpRequest &request)
+{
+    return {request.headerValues("Tenant"), !request.headerValues("Credential").empty()};
+}
+
 int ReplicaAnswers::eventCount(const std::string &firstAttempt)
 {
     return MinEventCount + static_cast<int>(hashOf(firstAttempt) % EventCountRange);
@@ -200,6 +206,9 @@
 asio::awaitable<bool> PlatformReplica::handleRequest(Socket socket, const HttpRequest &request)
 {
     const std::string attempt = request.headerValue("Attempt-Id");
+    if (m_onReceive) {
+        m_onReceive(request, id());
+    }
     const std::string expected = request.headerValue("Expect-Replica");
     if (!expected.empty() && expected != id()) {
         const std::string misdirected = refusal("421 Misdirected", attempt);
@@ -209,6 +218,10 @@
         const std::string busy = refusal("503 Busy", attempt);
         co_return co_await write(socket, busy);
     }
+    m_runs.push_back({attempt, callerIdentityOf(request)});
+    if (m_runs.size() > MaxRunsKept) {
+        m_runs.pop_front();
+    }
     m_onRequestRun(request, id());
     co_await sleepFor(ProcessingTime + m_faults.delay);
     if (crashesReplicas(request.target)) {
--- a/standin/platform_replica.h
+++ b/standin/platform_replica.h
@@ -8,11 +8,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace boragepath {
 
@@ -41,6 +43,24 @@
     std::string version;
 };
 
+/** What a request says to a replica about its caller. */
+struct CallerIdentity
+{
+    /** Values of all fields Tenant. */
+    std::vector<std::string> tenants;
+    /** It has a field Credential, which proxies must remove. */
+    bool hasCredential = false;
+};
+
+CallerIdentity callerIdentityOf(const HttpRequest &request);
+
+/** A request that a replica ran. */
+struct ReplicaRun
+{
+    std::string attempt;
+    CallerIdentity caller;
+};
+
 /** The answers of replicas, computed from the request's id so that any side can check them. */
 struct ReplicaAnswers
 {
@@ -85,6 +105,10 @@
     void nameLimit(std::optional<double> perSecond) { m_limit = perSecond; }
     /** Sets what ends the replica's process when it runs a request that crashes it. */
     void onCrash(std::function<void()> task) { m_onCrash = std::move(task); }
+    /** Sets a task to run for each request that arrives, also if it is refused. */
+    void onReceive(OnRequestRun task) { m_onReceive = std::move(task); }
+    /** The requests that it ran, in order; the oldest are dropped beyond 10,000. */
+    const std::deque<ReplicaRun> &runs() const { return m_runs; }
     /** True if replicas crash when they run requests to the target. */
     static bool crashesReplicas(const std::string &target);
     /** Closes all connections and accepts no new ones. */
@@ -109,7 +133,9 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     ReplicaIdentity m_identity;
     OnRequestRun m_onRequestRun;
+    OnRequestRun m_onReceive;
     std::function<void()> m_onCrash;
+    std::deque<ReplicaRun> m_runs;
     ReplicaFaults m_faults;
     std::mt19937_64 m_random;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> m_sockets;
