Datagrams for the quotas of organisations

Cause: the VMs need to agree on how many requests of an organisation may run. Change: QuotaNote, and field 21 of the envelope; regenerated. Result: nothing sends it yet.

--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -201,6 +201,41 @@
   }
 }
 
+int _kQuotaNoteKindValues[] = {
+  QuotaNoteKind::QUESTION,
+  QuotaNoteKind::ANSWER,
+  QuotaNoteKind::GIVE_BACK,
+  QuotaNoteKind::TAKE_OVER,
+  QuotaNoteKind::STATE
+};
+const char* _kQuotaNoteKindNames[] = {
+  "QUESTION",
+  "ANSWER",
+  "GIVE_BACK",
+  "TAKE_OVER",
+  "STATE"
+};
+const std::map<int, const char*> _QuotaNoteKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kQuotaNoteKindValues, _kQuotaNoteKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const QuotaNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _QuotaNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _QuotaNoteKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const QuotaNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _QuotaNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _QuotaNoteKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Suspicion::~Suspicion() noexcept {
 }
@@ -3230,6 +3265,446 @@
 }
 
 
+QuotaNote::~QuotaNote() noexcept {
+}
+
+
+void QuotaNote::__set_kind(const QuotaNoteKind::type val) {
+  this->kind = val;
+}
+
+void QuotaNote::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void QuotaNote::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void QuotaNote::__set_shard(const int32_t val) {
+  this->shard = val;
+}
+
+void QuotaNote::__set_shards(const int32_t val) {
+  this->shards = val;
+}
+
+void QuotaNote::__set_program(const int64_t val) {
+  this->program = val;
+}
+
+void QuotaNote::__set_milliRate(const int64_t val) {
+  this->milliRate = val;
+}
+
+void QuotaNote::__set_milliBurst(const int64_t val) {
+  this->milliBurst = val;
+}
+
+void QuotaNote::__set_mayBegin(const bool val) {
+  this->mayBegin = val;
+}
+
+void QuotaNote::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void QuotaNote::__set_delayMillis(const int32_t val) {
+  this->delayMillis = val;
+}
+
+void QuotaNote::__set_coordinator(const std::string& val) {
+  this->coordinator = val;
+}
+
+void QuotaNote::__set_milliLevel(const int64_t val) {
+  this->milliLevel = val;
+}
+
+void QuotaNote::__set_milliMean(const int64_t val) {
+  this->milliMean = val;
+}
+
+void QuotaNote::__set_milliStarts(const int64_t val) {
+  this->milliStarts = val;
+__isset.milliStarts = true;
+}
+
+void QuotaNote::__set_milliShare(const int32_t val) {
+  this->milliShare = val;
+__isset.milliShare = true;
+}
+
+void QuotaNote::__set_programs(const std::vector<int64_t> & val) {
+  this->programs = val;
+__isset.programs = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast72;
+          xfer += iprot->readI32(ecast72);
+          this->kind = static_cast<QuotaNoteKind::type>(ecast72);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shard);
+          this->__isset.shard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shards);
+          this->__isset.shards = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->program);
+          this->__isset.program = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliRate);
+          this->__isset.milliRate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliBurst);
+          this->__isset.milliBurst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mayBegin);
+          this->__isset.mayBegin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->delayMillis);
+          this->__isset.delayMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->coordinator);
+          this->__isset.coordinator = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliLevel);
+          this->__isset.milliLevel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliMean);
+          this->__isset.milliMean = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliStarts);
+          this->__isset.milliStarts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->milliShare);
+          this->__isset.milliShare = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->programs.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->programs.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              xfer += iprot->readI64(this->programs[_i77]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.programs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaNote");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shard", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->shard);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shards", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->shards);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("program", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->program);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("milliRate", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->milliRate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("milliBurst", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->milliBurst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mayBegin", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->mayBegin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("delayMillis", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->delayMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coordinator", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->coordinator);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("milliLevel", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->milliLevel);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("milliMean", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->milliMean);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.milliStarts) {
+    xfer += oprot->writeFieldBegin("milliStarts", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->milliStarts);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.milliShare) {
+    xfer += oprot->writeFieldBegin("milliShare", ::apache::thrift::protocol::T_I32, 16);
+    xfer += oprot->writeI32(this->milliShare);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.programs) {
+    xfer += oprot->writeFieldBegin("programs", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->programs.size()));
+      std::vector<int64_t> ::const_iterator _iter78;
+      for (_iter78 = this->programs.begin(); _iter78 != this->programs.end(); ++_iter78)
+      {
+        xfer += oprot->writeI64((*_iter78));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaNote &a, QuotaNote &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.id, b.id);
+  swap(a.organisation, b.organisation);
+  swap(a.shard, b.shard);
+  swap(a.shards, b.shards);
+  swap(a.program, b.program);
+  swap(a.milliRate, b.milliRate);
+  swap(a.milliBurst, b.milliBurst);
+  swap(a.mayBegin, b.mayBegin);
+  swap(a.granted, b.granted);
+  swap(a.delayMillis, b.delayMillis);
+  swap(a.coordinator, b.coordinator);
+  swap(a.milliLevel, b.milliLevel);
+  swap(a.milliMean, b.milliMean);
+  swap(a.milliStarts, b.milliStarts);
+  swap(a.milliShare, b.milliShare);
+  swap(a.programs, b.programs);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaNote::QuotaNote(const QuotaNote& other79) {
+  kind = other79.kind;
+  id = other79.id;
+  organisation = other79.organisation;
+  shard = other79.shard;
+  shards = other79.shards;
+  program = other79.program;
+  milliRate = other79.milliRate;
+  milliBurst = other79.milliBurst;
+  mayBegin = other79.mayBegin;
+  granted = other79.granted;
+  delayMillis = other79.delayMillis;
+  coordinator = other79.coordinator;
+  milliLevel = other79.milliLevel;
+  milliMean = other79.milliMean;
+  milliStarts = other79.milliStarts;
+  milliShare = other79.milliShare;
+  programs = other79.programs;
+  __isset = other79.__isset;
+}
+QuotaNote& QuotaNote::operator=(const QuotaNote& other80) {
+  kind = other80.kind;
+  id = other80.id;
+  organisation = other80.organisation;
+  shard = other80.shard;
+  shards = other80.shards;
+  program = other80.program;
+  milliRate = other80.milliRate;
+  milliBurst = other80.milliBurst;
+  mayBegin = other80.mayBegin;
+  granted = other80.granted;
+  delayMillis = other80.delayMillis;
+  coordinator = other80.coordinator;
+  milliLevel = other80.milliLevel;
+  milliMean = other80.milliMean;
+  milliStarts = other80.milliStarts;
+  milliShare = other80.milliShare;
+  programs = other80.programs;
+  __isset = other80.__isset;
+  return *this;
+}
+void QuotaNote::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaNote(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "shard=" << to_string(shard);
+  out << ", " << "shards=" << to_string(shards);
+  out << ", " << "program=" << to_string(program);
+  out << ", " << "milliRate=" << to_string(milliRate);
+  out << ", " << "milliBurst=" << to_string(milliBurst);
+  out << ", " << "mayBegin=" << to_string(mayBegin);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "delayMillis=" << to_string(delayMillis);
+  out << ", " << "coordinator=" << to_string(coordinator);
+  out << ", " << "milliLevel=" << to_string(milliLevel);
+  out << ", " << "milliMean=" << to_string(milliMean);
+  out << ", " << "milliStarts="; (__isset.milliStarts ? (out << to_string(milliStarts)) : (out << "<null>"));
+  out << ", " << "milliShare="; (__isset.milliShare ? (out << to_string(milliShare)) : (out << "<null>"));
+  out << ", " << "programs="; (__isset.programs ? (out << to_string(programs)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -3331,6 +3806,11 @@
   this->requestCrashes = val;
 __isset.requestCrashes = true;
 }
+
+void Envelope::__set_quotaNote(const QuotaNote& val) {
+  this->quotaNote = val;
+__isset.quotaNote = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -3387,14 +3867,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->permitRequests.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->permitRequests.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->permitRequests[_i76].read(iprot);
+              xfer += this->permitRequests[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3407,14 +3887,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitAnswers.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->permitAnswers.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->permitAnswers.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->permitAnswers[_i81].read(iprot);
+              xfer += this->permitAnswers[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3427,14 +3907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReleases.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->permitReleases.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->permitReleases.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += this->permitReleases[_i86].read(iprot);
+              xfer += this->permitReleases[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3447,14 +3927,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitsReleased.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->permitsReleased.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->permitsReleased.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->permitsReleased[_i91].read(iprot);
+              xfer += this->permitsReleased[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3475,14 +3955,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmNews.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->vmNews.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->vmNews.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += this->vmNews[_i96].read(iprot);
+              xfer += this->vmNews[_i105].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3535,14 +4015,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmHeartbeats.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->vmHeartbeats.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->vmHeartbeats.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->vmHeartbeats[_i101].read(iprot);
+              xfer += this->vmHeartbeats[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3555,14 +4035,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknownVms.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->unknownVms.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->unknownVms.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += iprot->readI64(this->unknownVms[_i106]);
+              xfer += iprot->readI64(this->unknownVms[_i115]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3591,14 +4071,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicaLimits.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->replicaLimits.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->replicaLimits.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->replicaLimits[_i111].read(iprot);
+              xfer += this->replicaLimits[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3611,14 +4091,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requestCrashes.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->requestCrashes.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->requestCrashes.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += this->requestCrashes[_i116].read(iprot);
+              xfer += this->requestCrashes[_i125].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3627,6 +4107,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaNote.read(iprot);
+          this->__isset.quotaNote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3661,10 +4149,10 @@
     xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-      std::vector<PermitRequest> ::const_iterator _iter117;
-      for (_iter117 = this->permitRequests.begin(); _iter117 != this->permitRequests.end(); ++_iter117)
+      std::vector<PermitRequest> ::const_iterator _iter126;
+      for (_iter126 = this->permitRequests.begin(); _iter126 != this->permitRequests.end(); ++_iter126)
       {
-        xfer += (*_iter117).write(oprot);
+        xfer += (*_iter126).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3674,10 +4162,10 @@
     xfer += oprot->writeFieldBegin("permitAnswers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitAnswers.size()));
-      std::vector<PermitAnswer> ::const_iterator _iter118;
-      for (_iter118 = this->permitAnswers.begin(); _iter118 != this->permitAnswers.end(); ++_iter118)
+      std::vector<PermitAnswer> ::const_iterator _iter127;
+      for (_iter127 = this->permitAnswers.begin(); _iter127 != this->permitAnswers.end(); ++_iter127)
       {
-        xfer += (*_iter118).write(oprot);
+        xfer += (*_iter127).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3687,10 +4175,10 @@
     xfer += oprot->writeFieldBegin("permitReleases", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReleases.size()));
-      std::vector<PermitRelease> ::const_iterator _iter119;
-      for (_iter119 = this->permitReleases.begin(); _iter119 != this->permitReleases.end(); ++_iter119)
+      std::vector<PermitRelease> ::const_iterator _iter128;
+      for (_iter128 = this->permitReleases.begin(); _iter128 != this->permitReleases.end(); ++_iter128)
       {
-        xfer += (*_iter119).write(oprot);
+        xfer += (*_iter128).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3700,10 +4188,10 @@
     xfer += oprot->writeFieldBegin("permitsReleased", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitsReleased.size()));
-      std::vector<PermitReleased> ::const_iterator _iter120;
-      for (_iter120 = this->permitsReleased.begin(); _iter120 != this->permitsReleased.end(); ++_iter120)
+      std::vector<PermitReleased> ::const_iterator _iter129;
+      for (_iter129 = this->permitsReleased.begin(); _iter129 != this->permitsReleased.end(); ++_iter129)
       {
-        xfer += (*_iter120).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3718,10 +4206,10 @@
     xfer += oprot->writeFieldBegin("vmNews", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmNews.size()));
-      std::vector<VmNews> ::const_iterator _iter121;
-      for (_iter121 = this->vmNews.begin(); _iter121 != this->vmNews.end(); ++_iter121)
+      std::vector<VmNews> ::const_iterator _iter130;
+      for (_iter130 = this->vmNews.begin(); _iter130 != this->vmNews.end(); ++_iter130)
       {
-        xfer += (*_iter121).write(oprot);
+        xfer += (*_iter130).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3756,10 +4244,10 @@
     xfer += oprot->writeFieldBegin("vmHeartbeats", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmHeartbeats.size()));
-      std::vector<VmHeartbeat> ::const_iterator _iter122;
-      for (_iter122 = this->vmHeartbeats.begin(); _iter122 != this->vmHeartbeats.end(); ++_iter122)
+      std::vector<VmHeartbeat> ::const_iterator _iter131;
+      for (_iter131 = this->vmHeartbeats.begin(); _iter131 != this->vmHeartbeats.end(); ++_iter131)
       {
-        xfer += (*_iter122).write(oprot);
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3769,10 +4257,10 @@
     xfer += oprot->writeFieldBegin("unknownVms", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownVms.size()));
-      std::vector<int64_t> ::const_iterator _iter123;
-      for (_iter123 = this->unknownVms.begin(); _iter123 != this->unknownVms.end(); ++_iter123)
+      std::vector<int64_t> ::const_iterator _iter132;
+      for (_iter132 = this->unknownVms.begin(); _iter132 != this->unknownVms.end(); ++_iter132)
       {
-        xfer += oprot->writeI64((*_iter123));
+        xfer += oprot->writeI64((*_iter132));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3792,10 +4280,10 @@
     xfer += oprot->writeFieldBegin("replicaLimits", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicaLimits.size()));
-      std::vector<ReplicaLimitNews> ::const_iterator _iter124;
-      for (_iter124 = this->replicaLimits.begin(); _iter124 != this->replicaLimits.end(); ++_iter124)
+      std::vector<ReplicaLimitNews> ::const_iterator _iter133;
+      for (_iter133 = this->replicaLimits.begin(); _iter133 != this->replicaLimits.end(); ++_iter133)
       {
-        xfer += (*_iter124).write(oprot);
+        xfer += (*_iter133).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3805,15 +4293,20 @@
     xfer += oprot->writeFieldBegin("requestCrashes", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requestCrashes.size()));
-      std::vector<RequestCrashNews> ::const_iterator _iter125;
-      for (_iter125 = this->requestCrashes.begin(); _iter125 != this->requestCrashes.end(); ++_iter125)
+      std::vector<RequestCrashNews> ::const_iterator _iter134;
+      for (_iter134 = this->requestCrashes.begin(); _iter134 != this->requestCrashes.end(); ++_iter134)
       {
-        xfer += (*_iter125).write(oprot);
+        xfer += (*_iter134).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quotaNote) {
+    xfer += oprot->writeFieldBegin("quotaNote", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->quotaNote.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3841,54 +4334,57 @@
   swap(a.sendPermit, b.sendPermit);
   swap(a.replicaLimits, b.replicaLimits);
   swap(a.requestCrashes, b.requestCrashes);
+  swap(a.quotaNote, b.quotaNote);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other126) {
-  vm = other126.vm;
-  fence = other126.fence;
-  probe = other126.probe;
-  permitRequests = other126.permitRequests;
-  permitAnswers = other126.permitAnswers;
-  permitReleases = other126.permitReleases;
-  permitsReleased = other126.permitsReleased;
-  heldPrograms = other126.heldPrograms;
-  vmNews = other126.vmNews;
-  wantsNews = other126.wantsNews;
-  ledgerNote = other126.ledgerNote;
-  replyTo = other126.replyTo;
-  wantsRegistry = other126.wantsRegistry;
-  registryCopy = other126.registryCopy;
-  vmHeartbeats = other126.vmHeartbeats;
-  unknownVms = other126.unknownVms;
-  streamOrigin = other126.streamOrigin;
-  sendPermit = other126.sendPermit;
-  replicaLimits = other126.replicaLimits;
-  requestCrashes = other126.requestCrashes;
-  __isset = other126.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other127) {
-  vm = other127.vm;
-  fence = other127.fence;
-  probe = other127.probe;
-  permitRequests = other127.permitRequests;
-  permitAnswers = other127.permitAnswers;
-  permitReleases = other127.permitReleases;
-  permitsReleased = other127.permitsReleased;
-  heldPrograms = other127.heldPrograms;
-  vmNews = other127.vmNews;
-  wantsNews = other127.wantsNews;
-  ledgerNote = other127.ledgerNote;
-  replyTo = other127.replyTo;
-  wantsRegistry = other127.wantsRegistry;
-  registryCopy = other127.registryCopy;
-  vmHeartbeats = other127.vmHeartbeats;
-  unknownVms = other127.unknownVms;
-  streamOrigin = other127.streamOrigin;
-  sendPermit = other127.sendPermit;
-  replicaLimits = other127.replicaLimits;
-  requestCrashes = other127.requestCrashes;
-  __isset = other127.__isset;
+Envelope::Envelope(const Envelope& other135) {
+  vm = other135.vm;
+  fence = other135.fence;
+  probe = other135.probe;
+  permitRequests = other135.permitRequests;
+  permitAnswers = other135.permitAnswers;
+  permitReleases = other135.permitReleases;
+  permitsReleased = other135.permitsReleased;
+  heldPrograms = other135.heldPrograms;
+  vmNews = other135.vmNews;
+  wantsNews = other135.wantsNews;
+  ledgerNote = other135.ledgerNote;
+  replyTo = other135.replyTo;
+  wantsRegistry = other135.wantsRegistry;
+  registryCopy = other135.registryCopy;
+  vmHeartbeats = other135.vmHeartbeats;
+  unknownVms = other135.unknownVms;
+  streamOrigin = other135.streamOrigin;
+  sendPermit = other135.sendPermit;
+  replicaLimits = other135.replicaLimits;
+  requestCrashes = other135.requestCrashes;
+  quotaNote = other135.quotaNote;
+  __isset = other135.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other136) {
+  vm = other136.vm;
+  fence = other136.fence;
+  probe = other136.probe;
+  permitRequests = other136.permitRequests;
+  permitAnswers = other136.permitAnswers;
+  permitReleases = other136.permitReleases;
+  permitsReleased = other136.permitsReleased;
+  heldPrograms = other136.heldPrograms;
+  vmNews = other136.vmNews;
+  wantsNews = other136.wantsNews;
+  ledgerNote = other136.ledgerNote;
+  replyTo = other136.replyTo;
+  wantsRegistry = other136.wantsRegistry;
+  registryCopy = other136.registryCopy;
+  vmHeartbeats = other136.vmHeartbeats;
+  unknownVms = other136.unknownVms;
+  streamOrigin = other136.streamOrigin;
+  sendPermit = other136.sendPermit;
+  replicaLimits = other136.replicaLimits;
+  requestCrashes = other136.requestCrashes;
+  quotaNote = other136.quotaNote;
+  __isset = other136.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -3914,6 +4410,7 @@
   out << ", " << "sendPermit="; (__isset.sendPermit ? (out << to_string(sendPermit)) : (out << "<null>"));
   out << ", " << "replicaLimits="; (__isset.replicaLimits ? (out << to_string(replicaLimits)) : (out << "<null>"));
   out << ", " << "requestCrashes="; (__isset.requestCrashes ? (out << to_string(requestCrashes)) : (out << "<null>"));
+  out << ", " << "quotaNote="; (__isset.quotaNote ? (out << to_string(quotaNote)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -106,6 +106,22 @@
 
 std::string to_string(const SendPermitNoteKind::type& val);
 
+struct QuotaNoteKind {
+  enum type {
+    QUESTION = 0,
+    ANSWER = 1,
+    GIVE_BACK = 2,
+    TAKE_OVER = 3,
+    STATE = 4
+  };
+};
+
+extern const std::map<int, const char*> _QuotaNoteKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const QuotaNoteKind::type& val);
+
+std::string to_string(const QuotaNoteKind::type& val);
+
 class Suspicion;
 
 class ReplicaLoad;
@@ -140,6 +156,8 @@
 
 class RequestCrashNews;
 
+class QuotaNote;
+
 class Envelope;
 
 typedef struct _Suspicion__isset {
@@ -1368,8 +1386,172 @@
 
 std::ostream& operator<<(std::ostream& out, const RequestCrashNews& obj);
 
+typedef struct _QuotaNote__isset {
+  _QuotaNote__isset() : kind(false), id(false), organisation(false), shard(false), shards(false), program(false), milliRate(false), milliBurst(false), mayBegin(false), granted(false), delayMillis(false), coordinator(false), milliLevel(false), milliMean(false), milliStarts(false), milliShare(false), programs(false) {}
+  bool kind :1;
+  bool id :1;
+  bool organisation :1;
+  bool shard :1;
+  bool shards :1;
+  bool program :1;
+  bool milliRate :1;
+  bool milliBurst :1;
+  bool mayBegin :1;
+  bool granted :1;
+  bool delayMillis :1;
+  bool coordinator :1;
+  bool milliLevel :1;
+  bool milliMean :1;
+  bool milliStarts :1;
+  bool milliShare :1;
+  bool programs :1;
+} _QuotaNote__isset;
+
+class QuotaNote : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaNote(const QuotaNote&);
+  QuotaNote& operator=(const QuotaNote&);
+  QuotaNote() noexcept
+            : kind(static_cast<QuotaNoteKind::type>(0)),
+              id(0),
+              organisation(),
+              shard(0),
+              shards(0),
+              program(0),
+              milliRate(0),
+              milliBurst(0),
+              mayBegin(0),
+              granted(0),
+              delayMillis(0),
+              coordinator(),
+              milliLevel(0),
+              milliMean(0),
+              milliStarts(0),
+              milliShare(0) {
+  }
+
+  virtual ~QuotaNote() noexcept;
+  /**
+   * 
+   * @see QuotaNoteKind
+   */
+  QuotaNoteKind::type kind;
+  int64_t id;
+  std::string organisation;
+  int32_t shard;
+  int32_t shards;
+  int64_t program;
+  int64_t milliRate;
+  int64_t milliBurst;
+  bool mayBegin;
+  bool granted;
+  int32_t delayMillis;
+  std::string coordinator;
+  int64_t milliLevel;
+  int64_t milliMean;
+  int64_t milliStarts;
+  int32_t milliShare;
+  std::vector<int64_t>  programs;
+
+  _QuotaNote__isset __isset;
+
+  void __set_kind(const QuotaNoteKind::type val);
+
+  void __set_id(const int64_t val);
+
+  void __set_organisation(const std::string& val);
+
+  void __set_shard(const int32_t val);
+
+  void __set_shards(const int32_t val);
+
+  void __set_program(const int64_t val);
+
+  void __set_milliRate(const int64_t val);
+
+  void __set_milliBurst(const int64_t val);
+
+  void __set_mayBegin(const bool val);
+
+  void __set_granted(const bool val);
+
+  void __set_delayMillis(const int32_t val);
+
+  void __set_coordinator(const std::string& val);
+
+  void __set_milliLevel(const int64_t val);
+
+  void __set_milliMean(const int64_t val);
+
+  void __set_milliStarts(const int64_t val);
+
+  void __set_milliShare(const int32_t val);
+
+  void __set_programs(const std::vector<int64_t> & val);
+
+  bool operator == (const QuotaNote & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(shard == rhs.shard))
+      return false;
+    if (!(shards == rhs.shards))
+      return false;
+    if (!(program == rhs.program))
+      return false;
+    if (!(milliRate == rhs.milliRate))
+      return false;
+    if (!(milliBurst == rhs.milliBurst))
+      return false;
+    if (!(mayBegin == rhs.mayBegin))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(delayMillis == rhs.delayMillis))
+      return false;
+    if (!(coordinator == rhs.coordinator))
+      return false;
+    if (!(milliLevel == rhs.milliLevel))
+      return false;
+    if (!(milliMean == rhs.milliMean))
+      return false;
+    if (__isset.milliStarts != rhs.__isset.milliStarts)
+      return false;
+    else if (__isset.milliStarts && !(milliStarts == rhs.milliStarts))
+      return false;
+    if (__isset.milliShare != rhs.__isset.milliShare)
+      return false;
+    else if (__isset.milliShare && !(milliShare == rhs.milliShare))
+      return false;
+    if (__isset.programs != rhs.__isset.programs)
+      return false;
+    else if (__isset.programs && !(programs == rhs.programs))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaNote &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaNote & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaNote &a, QuotaNote &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaNote& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false), quotaNote(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -1390,6 +1572,7 @@
   bool sendPermit :1;
   bool replicaLimits :1;
   bool requestCrashes :1;
+  bool quotaNote :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1426,6 +1609,7 @@
   SendPermitNote sendPermit;
   std::vector<ReplicaLimitNews>  replicaLimits;
   std::vector<RequestCrashNews>  requestCrashes;
+  QuotaNote quotaNote;
 
   _Envelope__isset __isset;
 
@@ -1469,6 +1653,8 @@
 
   void __set_requestCrashes(const std::vector<RequestCrashNews> & val);
 
+  void __set_quotaNote(const QuotaNote& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1547,6 +1733,10 @@
       return false;
     else if (__isset.requestCrashes && !(requestCrashes == rhs.requestCrashes))
       return false;
+    if (__isset.quotaNote != rhs.__isset.quotaNote)
+      return false;
+    else if (__isset.quotaNote && !(quotaNote == rhs.quotaNote))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -247,6 +247,50 @@
     4: optional i32 answeredAgeMillis;
 }
 
+enum QuotaNoteKind {
+    // Asks the coordinator of an organisation's quota whether one call may run.
+    QUESTION = 0,
+    ANSWER = 1,
+    // A call that was granted did not run.
+    GIVE_BACK = 2,
+    // The sender has become the coordinator; asks the VM that was it before for its state.
+    TAKE_OVER = 3,
+    // Answer to TAKE_OVER; the sender grants nothing more.
+    STATE = 4,
+}
+
+// A message about one organisation's quota, or one shard of it.
+struct QuotaNote {
+    1: QuotaNoteKind kind;
+    // Chosen by the VM that asks; repetitions and the answer have the same id.
+    2: i64 id;
+    3: string organisation;
+    // Number of the shard, from 0, and of how many.
+    4: i32 shard;
+    5: i32 shards;
+    // Hash of the program's id; 0 for a call that belongs to no program.
+    6: i64 program;
+    // The quota of the whole organisation, in thousandths of requests per second and of requests.
+    7: i64 milliRate;
+    8: i64 milliBurst;
+    // The call may be the first one of its program.
+    9: bool mayBegin;
+    10: bool granted;
+    // Time after which it is worth asking again, if the call was not granted.
+    11: i32 delayMillis;
+    // The VM to ask instead, "address:port"; empty if the sender has decided.
+    12: string coordinator;
+    // Thousandths of requests that are left; may be negative.
+    13: i64 milliLevel;
+    // Requests of a program on average, in thousandths; 0 if unknown.
+    14: i64 milliMean;
+    // STATE only: thousandths of programs that may begin, the part of the VMs that the sender has
+    // in sight in thousandths, and programs that are under way.
+    15: optional i64 milliStarts;
+    16: optional i32 milliShare;
+    17: optional list<i64> programs;
+}
+
 // One datagram.
 struct Envelope {
     1: string vm;
@@ -274,4 +318,5 @@
     18: optional SendPermitNote sendPermit;
     19: optional list<ReplicaLimitNews> replicaLimits;
     20: optional list<RequestCrashNews> requestCrashes;
+    21: optional QuotaNote quotaNote;
 }
