--- a/core/lru_map.h
+++ b/core/lru_map.h
@@ -39,6 +39,14 @@
         return found == m_items.end() ? nullptr : &found->second.value;
     }
 
+    /** Calls @p visit with each key and its value, in the order of the keys. */
+    template <typename Visit> void forEach(Visit visit) const
+    {
+        for (const auto &[key, item] : m_items) {
+            visit(key, item.value);
+        }
+    }
+
     std::size_t size() const { return m_items.size(); }
 
 private:
--- /dev/null
+++ b/tests/control/quota_bucket_test.cpp
@@ -0,0 +1,2 @@
+// The decision of one VM on the requests of one organisation.
+#include <gtest/gtest.h>
