Quotas: true delays, small quotas, a full burst where nobody else can have granted

Change: bookings keep their place; programs of small quotas may begin within half of the overdraft; a coordinator that has been the only one for a window starts with a full burst.

--- a/control/quotas/organisation_quotas.cpp
+++ b/control/quotas/organisation_quotas.cpp
@@ -20,6 +20,8 @@
 constexpr Milliseconds LongestPause{1'000};
 /** Gossip of a VM that takes over has reached the VM before it by then. */
 constexpr Milliseconds HandoverValidity{3'000};
+/** Until all VMs have noticed a change of the live ones, and agree on the coordinators. */
+constexpr Milliseconds SettledMargin{2'000};
 /** Growth per second of the part of the VMs by which quotas are granted, as after a partition:
  * VMs learn at different times that it has ended. */
 constexpr double ShareGrowth = 0.5;
@@ -86,6 +88,7 @@
     // A VM that has restarted must not use the ids of questions that it asked before.
     , m_nextId(static_cast<std::int64_t>(m_random() >> 16) + 1)
     , m_share(vms.shareInSight())
+    , m_sameVmsSince(clock.now())
     , m_checkedAt(clock.now())
     , m_checkedAtBoot(clock.bootNow())
 {
@@ -97,6 +100,11 @@
     checkPause();
     const double growth = ShareGrowth * std::chrono::duration<double>(TickInterval).count();
     m_share = std::min(m_vms.shareInSight(), m_share + growth);
+    std::vector<Endpoint> live = m_vms.rankedFor("quota", m_vms.liveCount());
+    if (live != m_liveVms) {
+        m_liveVms = std::move(live);
+        m_sameVmsSince = m_clock.now();
+    }
     m_timers.after(TickInterval, [this] { tick(); });
 }
 
@@ -110,9 +118,15 @@
     if (elapsed > LongestPause) {
         m_coordinations = std::make_unique<LruMap<Item, Coordination>>(MaxCoordinations);
         m_share = 1 / static_cast<double>(m_vms.vmCountForLimits());
+        m_sameVmsSince = now;
     }
 }
 
+bool OrganisationQuotas::isSettled() const
+{
+    return m_clock.now() >= m_sameVmsSince + m_tolerance.window + SettledMargin;
+}
+
 OrganisationQuotas::Item OrganisationQuotas::itemOf(const OrganisationId &organisation,
                                                     const RequestQuota &quota,
                                                     const ProgramFingerprint &program)
@@ -150,6 +164,12 @@
     question->program = fingerprintOf(claim.program);
     question->item = itemOf(claim.organisation, claim.quota, question->program);
     question->decideBy = m_clock.now() + claim.maxWait;
+    if (organisation.shards != question->item.shards) {
+        if (organisation.shards != 0) {
+            organisation.reshardedAt = m_clock.now();
+        }
+        organisation.shards = question->item.shards;
+    }
     ask(question);
 }
 
@@ -158,10 +178,9 @@
     const Item &item = question->item;
     const std::optional<Endpoint> coordinator = coordinatorOf(item, m_coordinations->find(item));
     if (!coordinator.has_value()) {
-        const double meanHint = m_organisations.put(item.organisation).use.meanRequests;
         finish(question,
                decide(item, question->claim.quota, {question->program, question->claim.mayBegin},
-                      meanHint),
+                      useElsewhere(item.organisation)),
                Decider::Here);
         return;
     }
@@ -186,11 +205,26 @@
     note.milliRate = toThousandths(question.claim.quota.rate.value());
     note.milliBurst = toThousandths(question.claim.quota.burst);
     note.mayBegin = question.claim.mayBegin;
-    const Organisation *organisation = m_organisations.find(question.item.organisation);
-    note.milliMean = organisation == nullptr ? 0 : toThousandths(organisation->use.meanRequests);
+    const UseElsewhere elsewhere = useElsewhere(question.item.organisation);
+    note.milliMean = toThousandths(elsewhere.meanRequests);
+    if (elsewhere.resharded) {
+        note.__set_resharded(true);
+    }
     m_send(to, note);
 }
 
+OrganisationQuotas::UseElsewhere
+OrganisationQuotas::useElsewhere(const OrganisationId &organisation) const
+{
+    const Organisation *known = m_organisations.find(organisation);
+    if (known == nullptr) {
+        return {};
+    }
+    const bool resharded = known->reshardedAt.has_value()
+        && m_clock.now() < *known->reshardedAt + m_tolerance.window + SettledMargin;
+    return {known->use.meanRequests, resharded};
+}
+
 void OrganisationQuotas::awaitAnswer(std::int64_t id)
 {
     m_timers.after(AnswerTimeout, [this, id] { handleTimeout(id); });
@@ -257,7 +291,7 @@
 }
 
 QuotaDecision OrganisationQuotas::decide(const Item &item, const RequestQuota &quota,
-                                         const BucketClaim &claim, double meanHint)
+                                         const BucketClaim &claim, const UseElsewhere &elsewhere)
 {
     Coordination &coordination = m_coordinations->put(item);
     if (coordination.successor.has_value()) {
@@ -266,11 +300,14 @@
     coordination.limits = quotaLimits(quota, m_tolerance, item.shards, m_share);
     const bool isNew = !coordination.state.startedAt.has_value();
     if (isNew) {
-        adoptMean(coordination.state, meanHint);
+        adoptMean(coordination.state, elsewhere.meanRequests);
+        if (isSettled() && !elsewhere.resharded) {
+            startFull(coordination.state, coordination.limits, m_clock.now());
+        }
     }
     const QuotaDecision decision =
         decideClaim(coordination.state, coordination.limits, claim, m_clock.now(), m_random);
-    if (isNew) {
+    if (isNew && !coordination.state.isSole) {
         askPredecessor(item, coordination);
     }
     QuotaUse &use = m_organisations.put(item.organisation).use;
@@ -350,8 +387,9 @@
         m_send(from, answer);
         return;
     }
-    const QuotaDecision decision = decide(item, quotaOf(question), {program, question.mayBegin},
-                                          fromThousandths(question.milliMean));
+    const QuotaDecision decision =
+        decide(item, quotaOf(question), {program, question.mayBegin},
+               {fromThousandths(question.milliMean), question.resharded});
     const QuotaUse &use = m_organisations.find(item.organisation)->use;
     answer.granted = decision.granted;
     answer.delayMillis = static_cast<std::int32_t>(toMillis(decision.delay));
--- a/control/quotas/organisation_quotas.h
+++ b/control/quotas/organisation_quotas.h
@@ -112,6 +112,9 @@
     struct Organisation
     {
         RequestQuota quota;
+        /** Number of shards by the last claim of this VM, 0 for none, and since when. */
+        std::size_t shards = 0;
+        std::optional<SteadyTime> reshardedAt;
         QuotaUse use;
         LocalShare localShare;
     };
@@ -130,6 +133,15 @@
     };
     using QuestionPtr = std::shared_ptr<Question>;
 
+    /** What the VM that asks knows of the organisation. */
+    struct UseElsewhere
+    {
+        /** 0 if unknown. */
+        double meanRequests = 0;
+        /** Another number of shards has been in use less than a window ago. */
+        bool resharded = false;
+    };
+
     enum class Decider { Here, Elsewhere, Alone };
 
     Item itemOf(const OrganisationId &organisation, const RequestQuota &quota,
@@ -142,13 +154,16 @@
     void decideAlone(std::int64_t id);
     void finish(const QuestionPtr &question, const QuotaDecision &decision, Decider decider);
     QuotaDecision decide(const Item &item, const RequestQuota &quota, const BucketClaim &claim,
-                         double meanHint);
+                         const UseElsewhere &elsewhere);
     void askPredecessor(const Item &item, Coordination &coordination);
     void handleQuestion(const Endpoint &from, const peers::QuotaNote &question);
     void handleAnswer(const Endpoint &from, const peers::QuotaNote &answer);
     void handleTakeOver(const Endpoint &from, const peers::QuotaNote &question);
     void handleState(const peers::QuotaNote &note);
     void returnTo(const Item &item, const ProgramFingerprint &program);
+    UseElsewhere useElsewhere(const OrganisationId &organisation) const;
+    /** True if this VM has decided on everything that it is the coordinator of for a window. */
+    bool isSettled() const;
     void tick();
     /** Discards all that was granted if the process was paused. */
     void checkPause();
@@ -169,6 +184,9 @@
     std::int64_t m_nextId;
     /** The VMs in sight as a part of all; follows an increase slowly. */
     double m_share = 0;
+    /** The other live VMs, and since when they have been the same ones. */
+    std::vector<Endpoint> m_liveVms;
+    SteadyTime m_sameVmsSince;
     SteadyTime m_checkedAt;
     BootTime m_checkedAtBoot;
 };
--- a/control/quotas/quota_bucket.cpp
+++ b/control/quotas/quota_bucket.cpp
@@ -9,18 +9,20 @@
 
 // Parts of the tolerated excess. On one span, with one change of the VM that decides, the
 // requests beyond rate x window + burst are at most
-//     2 x OverdraftPart   the overdrafts of the VM that decided before and of the next one
-//     + StartPart         what the next one grants without knowing what was granted before
-//     + LocalPart         what VMs without an answer decide by themselves
-//     + PartitionPart     what the sides of a network partition grant beyond their exact shares
+//     OverdraftPart         the overdraft of the VM that decided before
+//     + StartPart           what the next one grants at once, not knowing what has been granted
+//     + FreshOverdraftPart  the overdraft of the next one until a window has passed
+//     + LocalPart           what VMs without an answer decide by themselves
+//     + PartitionPart       what the sides of a network partition grant beyond their exact shares
 //     = 0.87
 // of it. The rest is for the time between a grant and the arrival of the request at a replica,
 // which moves requests from one span to another.
-constexpr double OverdraftPart = 0.25;
+constexpr double OverdraftPart = 0.35;
 constexpr double StartPart = 0.1;
+constexpr double FreshOverdraftPart = 0.15;
 constexpr double LocalPart = 0.12;
 constexpr double PartitionPart = 0.15;
-static_assert(2 * OverdraftPart + StartPart + LocalPart + PartitionPart <= 0.9);
+static_assert(OverdraftPart + StartPart + FreshOverdraftPart + LocalPart + PartitionPart <= 0.9);
 
 /** A program without a request for this long has ended. */
 constexpr Milliseconds ProgramIdleTime{3'000};
@@ -44,13 +46,15 @@
 constexpr std::size_t MaxProgramsHandedOver = 64;
 
 /** Programs are told to return up to this far ahead. */
-constexpr Milliseconds BookingHorizon{20'000};
+constexpr Milliseconds BookingHorizon{10'000};
 /** A program that has not returned this long after it was told to is not waited for. */
-constexpr Milliseconds BookingGrace{1'500};
+constexpr Milliseconds ReturnGrace{700};
+/** A program that returns later than this has lost its place. */
+constexpr Milliseconds BookingValidity{3'000};
 constexpr std::size_t MaxBookings = 1'000;
 constexpr double ReturnSmoothing = 0.05;
 /** Waiting programs count for at least this part in the time that others are told. */
-constexpr double LeastReturnRatio = 0.1;
+constexpr double LeastReturnRatio = 0.5;
 constexpr Milliseconds LongestStartSpread{500};
 /** Calls of programs under way are told to return within this time. */
 constexpr Milliseconds LongestCallDelay{2'000};
@@ -76,22 +80,37 @@
     return std::max(limits.rate, LeastRate) / state.meanRequests;
 }
 
-/** Programs that may begin at once; the capacity is enough for their requests. */
+/**
+ * Part of the overdraft with which programs may begin: a burst that is smaller than one program
+ * would leave much of a low rate unused.
+ */
+double startOverdraft(const QuotaState &state, const QuotaLimits &limits)
+{
+    return std::clamp(state.meanRequests - limits.capacity, 0.0, limits.overdraft / 2);
+}
+
+/** Programs that may begin at once. */
 double startCapacity(const QuotaState &state, const QuotaLimits &limits)
 {
-    return 1 + limits.capacity / state.meanRequests;
+    return 1 + (limits.capacity + startOverdraft(state, limits)) / state.meanRequests;
+}
+
+/** What calls of programs under way may take in advance now. */
+double overdraftNow(const QuotaState &state, const QuotaLimits &limits, SteadyTime now)
+{
+    const bool isFresh = !state.isSole && now < *state.startedAt + limits.window;
+    return isFresh ? limits.freshOverdraft : limits.overdraft;
 }
 
 /**
  * Corrects the rate of beginning programs by the level, so that a wrong mean neither leaves quota
- * unused nor cuts off programs: 0 at the end of the overdraft, 1 at half of the capacity, 2 at all
- * of it.
+ * unused nor cuts off programs: 0 at the end of the overdraft, 1 in the middle, 2 at the capacity.
  */
 double startRateCorrection(const QuotaState &state, const QuotaLimits &limits)
 {
-    const double middle = limits.capacity / 2;
+    const double middle = limits.capacity / 2 - startOverdraft(state, limits);
     if (state.level >= middle) {
-        return state.level / middle;
+        return 1 + (state.level - middle) / (limits.capacity - middle);
     }
     return std::max(0.0, (state.level + limits.overdraft) / (middle + limits.overdraft));
 }
@@ -119,12 +138,6 @@
     }
 }
 
-bool isBooked(const QuotaState &state, const QuotaBooking &booking)
-{
-    const auto found = state.bookedAt.find(booking.program);
-    return found != state.bookedAt.end() && found->second == booking.at;
-}
-
 void noteReturn(QuotaState &state, bool returned)
 {
     state.returnRatio += ((returned ? 1 : 0) - state.returnRatio) * ReturnSmoothing;
@@ -132,36 +145,45 @@
 
 void dropOldBookings(QuotaState &state, SteadyTime now)
 {
-    while (!state.bookings.empty() && state.bookings.front().at + BookingGrace <= now) {
-        if (isBooked(state, state.bookings.front())) {
-            state.bookedAt.erase(state.bookings.front().program);
+    while (!state.bookings.empty() && state.bookings.front().at + BookingValidity <= now) {
+        if (!state.bookings.front().hasReturned) {
             noteReturn(state, false);
         }
         state.bookings.pop_front();
     }
 }
 
-/** Programs that may return now, as far as programs do. */
-double programsDue(const QuotaState &state, SteadyTime now)
+auto findBooking(QuotaState &state, const ProgramFingerprint &program)
+{
+    return std::find_if(state.bookings.begin(), state.bookings.end(),
+                        [&](const QuotaBooking &booking) { return booking.program == program; });
+}
+
+/** Programs that wait to begin now, as far as programs return, and those before @p program. */
+double programsDue(const QuotaState &state, const ProgramFingerprint &program, SteadyTime now)
 {
-    std::size_t due = 0;
+    double due = 0;
     for (const QuotaBooking &booking : state.bookings) {
-        if (booking.at > now) {
+        if (booking.at > now || booking.program == program) {
             break;
         }
-        due += isBooked(state, booking) ? 1 : 0;
+        if (booking.hasReturned) {
+            due += 1;
+        } else if (now < booking.at + ReturnGrace) {
+            due += state.returnRatio;
+        }
     }
-    return static_cast<double>(due) * state.returnRatio;
+    return due;
 }
 
 void start(QuotaState &state, const QuotaLimits &limits, SteadyTime now)
 {
     state.startedAt = now;
     state.updatedAt = now;
-    state.level = std::min(limits.startAmount, limits.capacity);
     if (state.meanRequests <= 0) {
         state.meanRequests = AssumedMeanRequests;
     }
+    state.level = std::min(limits.startAmount, limits.capacity);
     state.starts = std::min(1.0, state.level);
 }
 
@@ -172,7 +194,7 @@
     }
     endIdlePrograms(state, now);
     dropOldBookings(state, now);
-    const bool isSettling = !state.hasPredecessor && now < *state.startedAt + SettlingTime;
+    const bool isSettling = !state.isSole && now < *state.startedAt + SettlingTime;
     const double seconds = toSeconds(now - state.updatedAt) * (isSettling ? 0.5 : 1);
     state.updatedAt = now;
     state.starts += seconds * startRate(state, limits) * startRateCorrection(state, limits);
@@ -193,17 +215,19 @@
 }
 
 /** True if a program may begin; programs that were told to return now go before others. */
-bool mayStart(const QuotaState &state, const ProgramFingerprint &program, SteadyTime now)
+bool mayStart(QuotaState &state, const QuotaLimits &limits, const ProgramFingerprint &program,
+              SteadyTime now)
 {
-    if (state.level < 1) {
+    if (state.level < 1 - startOverdraft(state, limits)) {
         return false;
     }
-    const auto booked = state.bookedAt.find(program);
-    if (booked != state.bookedAt.end() && now >= booked->second) {
+    const auto booking = findBooking(state, program);
+    if (booking != state.bookings.end() && now >= booking->at) {
         return state.starts >= 1;
     }
-    const double due = programsDue(state, now);
-    return state.starts >= 1 + due
+    const double due = programsDue(state, program, now);
+    // Those that have not returned must not be waited for when no more can be saved for them.
+    return state.starts >= std::min(1 + due, startCapacity(state, limits))
         || state.level >= expectedNeed(state, now) + (1 + due) * state.meanRequests;
 }
 
@@ -221,12 +245,13 @@
     state.grants.emplace_back(now, claim.program);
 }
 
-/** Until one program may begin, if no other one comes first. */
-Duration timeToNextStart(const QuotaState &state, const QuotaLimits &limits)
+/** Until a program may begin if @p ahead others come first. */
+Duration timeToStart(const QuotaState &state, const QuotaLimits &limits, double ahead)
 {
-    const double seconds = std::max(0.0, 1 - state.starts) / startRate(state, limits)
-        + std::max(0.0, 1 - state.level) / std::max(limits.rate, LeastRate);
-    return std::min<Duration>(fromSeconds(seconds), BookingHorizon);
+    const double seconds = std::max(0.0, 1 + ahead - state.starts) / startRate(state, limits)
+        + std::max(0.0, 1 - startOverdraft(state, limits) - state.level)
+            / std::max(limits.rate, LeastRate);
+    return fromSeconds(std::min(seconds, toSeconds(BookingHorizon)));
 }
 
 Duration delayOfStart(QuotaState &state, const QuotaLimits &limits,
@@ -235,20 +260,19 @@
     const double interval = 1 / startRate(state, limits);
     const Duration spread =
         randomUpTo(std::min<Duration>(fromSeconds(interval), LongestStartSpread), random);
-    const SteadyTime earliest = now + timeToNextStart(state, limits);
-    const auto known = state.bookedAt.find(program);
-    if (known != state.bookedAt.end()) {
+    const SteadyTime earliest = now + timeToStart(state, limits, programsDue(state, program, now));
+    const auto known = findBooking(state, program);
+    if (known != state.bookings.end()) {
         // It keeps its place, also if it came back in time and could not begin.
-        return std::max(known->second, earliest) - now + spread;
+        return std::max(known->at, earliest) - now + spread;
     }
     const Duration step = fromSeconds(interval * std::max(state.returnRatio, LeastReturnRatio));
     const SteadyTime at =
         state.bookings.empty() ? earliest : std::max(earliest, state.bookings.back().at + step);
-    if (at > now + BookingHorizon || state.bookings.size() >= MaxBookings) {
+    if (at >= now + BookingHorizon || state.bookings.size() >= MaxBookings) {
         return BookingHorizon + randomUpTo(BookingHorizon / 2, random);
     }
     state.bookings.push_back({at, program});
-    state.bookedAt[program] = at;
     return at - now + spread;
 }
 
@@ -265,7 +289,8 @@
 QuotaDecision decideCall(QuotaState &state, const QuotaLimits &limits, const BucketClaim &claim,
                          SteadyTime now, std::mt19937_64 &random)
 {
-    const double lowest = claim.program == ProgramFingerprint() ? 0 : -limits.overdraft;
+    const double lowest =
+        claim.program == ProgramFingerprint() ? 0 : -overdraftNow(state, limits, now);
     const double missing = 1 + lowest - state.level;
     if (missing <= 0) {
         recordGrant(state, claim, false, now);
@@ -281,11 +306,17 @@
 QuotaDecision decideStart(QuotaState &state, const QuotaLimits &limits, const BucketClaim &claim,
                           SteadyTime now, std::mt19937_64 &random)
 {
-    if (!mayStart(state, claim.program, now)) {
+    const auto booking = findBooking(state, claim.program);
+    const bool isBooked = booking != state.bookings.end();
+    if (isBooked && now >= booking->at && !booking->hasReturned) {
+        booking->hasReturned = true;
+        noteReturn(state, true);
+    }
+    if (!mayStart(state, limits, claim.program, now)) {
         return {false, delayOfStart(state, limits, claim.program, now, random)};
     }
-    if (state.bookedAt.erase(claim.program) > 0) {
-        noteReturn(state, true);
+    if (isBooked) {
+        state.bookings.erase(booking);
     }
     state.starts = std::max(state.starts - 1, 0.0);
     recordGrant(state, claim, true, now);
@@ -296,7 +327,7 @@
 QuotaDecision decideRunaway(QuotaState &state, const QuotaLimits &limits, const BucketClaim &claim,
                             SteadyTime now, std::mt19937_64 &random)
 {
-    if (!mayStart(state, claim.program, now)) {
+    if (!mayStart(state, limits, claim.program, now)) {
         const Duration interval = fromSeconds(1 / startRate(state, limits));
         return {false, interval + randomUpTo(interval, random)};
     }
@@ -325,6 +356,8 @@
     limits.rate = quota.rate.value() * share;
     limits.capacity = std::max(1.0, quota.burst * share);
     limits.overdraft = OverdraftPart * excess * share;
+    limits.freshOverdraft = FreshOverdraftPart * excess * share;
+    limits.window = tolerance.window;
     limits.startAmount = StartPart * excess * share;
     return limits;
 }
@@ -376,6 +409,14 @@
     }
 }
 
+void startFull(QuotaState &state, const QuotaLimits &limits, SteadyTime now)
+{
+    start(state, limits, now);
+    state.isSole = true;
+    state.level = limits.capacity;
+    state.starts = startCapacity(state, limits);
+}
+
 void adoptMean(QuotaState &state, double meanRequests)
 {
     if (state.programsEnded == 0 && meanRequests >= 1) {
@@ -400,11 +441,10 @@
 void takeOver(QuotaState &state, const QuotaLimits &limits, const QuotaHandover &handover,
               SteadyTime now)
 {
-    if (!state.startedAt.has_value() || state.hasPredecessor
-        || now > *state.startedAt + TakeOverTime) {
+    if (!state.startedAt.has_value() || state.isSole || now > *state.startedAt + TakeOverTime) {
         return;
     }
-    state.hasPredecessor = true;
+    state.isSole = true;
     adoptMean(state, handover.meanRequests);
     state.level =
         std::clamp(handover.level - state.grantedSinceStart, -limits.overdraft, limits.capacity);
--- a/control/quotas/quota_bucket.h
+++ b/control/quotas/quota_bucket.h
@@ -50,7 +50,10 @@
     double capacity = 1;
     /** Requests that calls of programs under way may take in advance. */
     double overdraft = 0;
-    /** Requests that may be granted at once by a VM that doesn't know what others have granted. */
+    /** The same until @c window has passed since the start, if another VM may have granted too. */
+    double freshOverdraft = 0;
+    Duration window{0};
+    /** Requests that may be granted at once by a VM that starts, at most @c capacity. */
     double startAmount = 0;
 };
 
@@ -90,6 +93,8 @@
 {
     SteadyTime at;
     ProgramFingerprint program;
+    /** It has come back, and could not begin yet. */
+    bool hasReturned = false;
 };
 
 /** What the VM that decides knows about one organisation's quota, or one shard of it. */
@@ -103,8 +108,8 @@
     /** Programs that may begin. */
     double starts = 0;
     double grantedSinceStart = 0;
-    /** The figures of the VM that decided before have been taken over. */
-    bool hasPredecessor = false;
+    /** No other VM grants: it has handed over its state, or there was none for long. */
+    bool isSole = false;
     /** Requests of a program on average, and on how many programs that is based. */
     double meanRequests = 0;
     int programsEnded = 0;
@@ -112,9 +117,8 @@
     std::map<ProgramFingerprint, QuotaProgram> programs;
     /** The grants behind @c programs, oldest first. */
     std::deque<std::pair<SteadyTime, ProgramFingerprint>> grants;
-    /** Bookings by time; those in @c bookedAt are valid. */
+    /** By time; a few tens of them are due at once. */
     std::deque<QuotaBooking> bookings;
-    std::map<ProgramFingerprint, SteadyTime> bookedAt;
     /** Part of the programs with a booking that have returned, smoothed. */
     double returnRatio = 0.5;
     /** Calls of programs under way have been told to return up to this time. */
@@ -151,6 +155,11 @@
                           SteadyTime now, std::mt19937_64 &random);
 /** Returns a request that was granted to the program but then did not run. */
 void returnGrant(QuotaState &state, const QuotaLimits &limits, const ProgramFingerprint &program);
+/**
+ * Starts the empty @p state with a full burst. Only for a VM that knows that no VM has granted
+ * anything for as long as a window.
+ */
+void startFull(QuotaState &state, const QuotaLimits &limits, SteadyTime now);
 /** Uses @p meanRequests, which another VM has learned, if nothing is known here. */
 void adoptMean(QuotaState &state, double meanRequests);
 /** The figures for the VM that decides from now on; the caller has to discard @p state. */
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -3339,6 +3339,11 @@
   this->programs = val;
 __isset.programs = true;
 }
+
+void QuotaNote::__set_resharded(const bool val) {
+  this->resharded = val;
+__isset.resharded = true;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaNote& obj)
 {
   obj.printTo(out);
@@ -3517,6 +3522,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resharded);
+          this->__isset.resharded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3613,6 +3626,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.resharded) {
+    xfer += oprot->writeFieldBegin("resharded", ::apache::thrift::protocol::T_BOOL, 18);
+    xfer += oprot->writeBool(this->resharded);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3637,6 +3655,7 @@
   swap(a.milliStarts, b.milliStarts);
   swap(a.milliShare, b.milliShare);
   swap(a.programs, b.programs);
+  swap(a.resharded, b.resharded);
   swap(a.__isset, b.__isset);
 }
 
@@ -3658,6 +3677,7 @@
   milliStarts = other79.milliStarts;
   milliShare = other79.milliShare;
   programs = other79.programs;
+  resharded = other79.resharded;
   __isset = other79.__isset;
 }
 QuotaNote& QuotaNote::operator=(const QuotaNote& other80) {
@@ -3678,6 +3698,7 @@
   milliStarts = other80.milliStarts;
   milliShare = other80.milliShare;
   programs = other80.programs;
+  resharded = other80.resharded;
   __isset = other80.__isset;
   return *this;
 }
@@ -3701,6 +3722,7 @@
   out << ", " << "milliStarts="; (__isset.milliStarts ? (out << to_string(milliStarts)) : (out << "<null>"));
   out << ", " << "milliShare="; (__isset.milliShare ? (out << to_string(milliShare)) : (out << "<null>"));
   out << ", " << "programs="; (__isset.programs ? (out << to_string(programs)) : (out << "<null>"));
+  out << ", " << "resharded="; (__isset.resharded ? (out << to_string(resharded)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -1387,7 +1387,7 @@
 std::ostream& operator<<(std::ostream& out, const RequestCrashNews& obj);
 
 typedef struct _QuotaNote__isset {
-  _QuotaNote__isset() : kind(false), id(false), organisation(false), shard(false), shards(false), program(false), milliRate(false), milliBurst(false), mayBegin(false), granted(false), delayMillis(false), coordinator(false), milliLevel(false), milliMean(false), milliStarts(false), milliShare(false), programs(false) {}
+  _QuotaNote__isset() : kind(false), id(false), organisation(false), shard(false), shards(false), program(false), milliRate(false), milliBurst(false), mayBegin(false), granted(false), delayMillis(false), coordinator(false), milliLevel(false), milliMean(false), milliStarts(false), milliShare(false), programs(false), resharded(false) {}
   bool kind :1;
   bool id :1;
   bool organisation :1;
@@ -1405,6 +1405,7 @@
   bool milliStarts :1;
   bool milliShare :1;
   bool programs :1;
+  bool resharded :1;
 } _QuotaNote__isset;
 
 class QuotaNote : public virtual ::apache::thrift::TBase {
@@ -1428,7 +1429,8 @@
               milliLevel(0),
               milliMean(0),
               milliStarts(0),
-              milliShare(0) {
+              milliShare(0),
+              resharded(0) {
   }
 
   virtual ~QuotaNote() noexcept;
@@ -1453,6 +1455,7 @@
   int64_t milliStarts;
   int32_t milliShare;
   std::vector<int64_t>  programs;
+  bool resharded;
 
   _QuotaNote__isset __isset;
 
@@ -1490,6 +1493,8 @@
 
   void __set_programs(const std::vector<int64_t> & val);
 
+  void __set_resharded(const bool val);
+
   bool operator == (const QuotaNote & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1532,6 +1537,10 @@
       return false;
     else if (__isset.programs && !(programs == rhs.programs))
       return false;
+    if (__isset.resharded != rhs.__isset.resharded)
+      return false;
+    else if (__isset.resharded && !(resharded == rhs.resharded))
+      return false;
     return true;
   }
   bool operator != (const QuotaNote &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -289,6 +289,8 @@
     15: optional i64 milliStarts;
     16: optional i32 milliShare;
     17: optional list<i64> programs;
+    // QUESTION only: the organisation had another number of shards less than a window ago.
+    18: optional bool resharded;
 }
 
 // One datagram.
