The pace of each replica is kept with its age

Cause: the pace that replicas report changes many times a second, and nothing kept it. Change: each incarnation has a record of the last pace and when its answer's head was read, of the mean response time, and of the mean pace of the same answers. No decision uses the record yet.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -375,6 +375,9 @@
             if (head.limit.kind == LimitStatement::Kind::NoLimit && !head.wrongReplica) {
                 progress.observation.noLimitSince = progress.sentAt;
             }
+            if (!head.wrongReplica) {
+                noteReplicaPace(progress, head);
+            }
             co_return true;
         }
         connection.markUnusable();
@@ -421,6 +424,17 @@
                });
 }
 
+void CallForwarder::noteReplicaPace(const Progress &progress, const ReplicaResponseHead &head)
+{
+    if (!head.load.has_value() || !head.load->pace.has_value()) {
+        return;
+    }
+    // Not at the end of the answer: a stream may last longer than the pace stays as reported.
+    asio::post(m_control,
+               [this, replica = progress.dispatch.replica, pace = *head.load->pace,
+                readAt = m_clock.now()] { m_scheduler.noteReplicaPace(replica, pace, readAt); });
+}
+
 asio::awaitable<CallForwarder::AttemptResult>
 CallForwarder::forwardBufferedResponse(Progress &progress, ReplicaConnection &connection,
                                        const ReplicaResponseHead &head)
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -150,6 +150,7 @@
     void noteReplicaLeaving(const Progress &progress);
     /** Tells the scheduler which limit the replica of this attempt names, if it names one. */
     void noteReplicaLimit(const Progress &progress, const LimitStatement &statement);
+    void noteReplicaPace(const Progress &progress, const ReplicaResponseHead &head);
     boost::asio::awaitable<AttemptResult> forwardBufferedResponse(Progress &progress,
                                                                   ReplicaConnection &connection,
                                                                   const ReplicaResponseHead &head);
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -597,6 +597,12 @@
     }
 }
 
+void CallScheduler::noteReplicaPace(const ReplicaEntry &replica, ReplicaPace pace,
+                                    SteadyTime readAt)
+{
+    m_dependencies.replicas.notePace(incarnationOf(replica), pace, readAt);
+}
+
 void CallScheduler::endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation)
 {
     releaseReplica(m_calls[handle], observation);
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -193,6 +193,8 @@
      */
     void noteReplicaLimit(const ReplicaEntry &replica, const AttemptId &attempt,
                           const LimitStatement &statement, SteadyTime sentAt);
+    /** An answer of the replica, read at @p readAt, reports a pace. */
+    void noteReplicaPace(const ReplicaEntry &replica, ReplicaPace pace, SteadyTime readAt);
     /** Ends the attempt at the current replica; the call stays open. */
     void endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation);
     /**
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -243,6 +243,15 @@
     found->second.removeAt = registryCompleteAt;
 }
 
+void ReplicaTable::notePace(const ReplicaIncarnation &incarnation, ReplicaPace pace,
+                            SteadyTime readAt)
+{
+    const auto found = m_replicas.find(incarnation.id);
+    if (found != m_replicas.end() && incarnationOf(found->second.entry) == incarnation) {
+        recordPace(found->second.pace, pace, readAt);
+    }
+}
+
 std::vector<ReplicaId> ReplicaTable::expireMissing()
 {
     std::vector<ReplicaId> expired;
@@ -326,6 +335,10 @@
         replica.load = *observation.load;
         replica.reportedAt = now;
         replica.startedSinceReport = 0;
+        recordOtherRequests(replica.pace,
+                            std::max(0.0,
+                                     static_cast<double>(replica.load.running + replica.load.waiting
+                                                         - replica.ownRequests)));
     }
     if (observation.latency.has_value()) {
         replica.latency = smoothed(replica.latency, *observation.latency);
@@ -335,6 +348,13 @@
         replica.eventInterval = smoothed(replica.eventInterval, *observation.eventInterval);
         replica.measuredAt = now;
     }
+    if (observation.load.has_value() && observation.load->pace.has_value()) {
+        const auto response =
+            observation.eventInterval.has_value() ? observation.eventInterval : observation.latency;
+        if (response.has_value()) {
+            recordResponse(replica.pace, *response, *observation.load->pace);
+        }
+    }
     if (observation.outcome == ReplicaObservation::Outcome::Served) {
         replica.failures = 0;
         return;
@@ -385,6 +405,8 @@
     inputs.ownRequests = replica.ownRequests;
     inputs.reportedRequests = replica.load.running + replica.load.waiting;
     inputs.reportAge = now - replica.reportedAt;
+    inputs.pace = replica.pace.latest;
+    inputs.paceAge = paceAge(replica.pace, now);
     return inputs;
 }
 
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -116,6 +116,8 @@
     SteadyTime endedUntil;
     /** Consecutive failures. */
     int failures = 0;
+    /** Its changing speed, if it shares its machine and reports a pace. */
+    PaceRecord pace;
     /** Until then, the failures exclude the replica from placement if others are available. */
     SteadyTime excludedUntil;
     /** Set if the replica is missing from the registry: it is removed at this time. */
@@ -183,6 +185,8 @@
     bool markLeaving(const ReplicaIncarnation &incarnation);
     /** The process of this incarnation has ended. False if that was known. */
     bool markEnded(const ReplicaFingerprint &replica);
+    /** An answer of this incarnation that was read at @p readAt reported a pace. */
+    void notePace(const ReplicaIncarnation &incarnation, ReplicaPace pace, SteadyTime readAt);
     /** Removes the replicas whose removal is due and returns their ids. */
     std::vector<ReplicaId> expireMissing();
 
@@ -237,6 +241,9 @@
     std::int64_t reportedRequests = 0;
     /** Age of that report. */
     Duration reportAge{0};
+    /** The last reported pace and its age; none if the replica reports none. */
+    std::optional<ReplicaPace> pace = std::nullopt;
+    std::optional<Duration> paceAge = std::nullopt;
 };
 
 /** True if all slots and the queue of the replica are occupied, by this VM's estimate. */
