Replicas that report a pace are chosen by the expected end of the request

Cause: utilization times slowdown ignores lasting speeds older than 5 s and takes replicas without a recent report for idle ones. Change: where replicas of a service report a pace, the request goes to the one of two replicas, drawn by rendezvous hashing, that is done earlier, or stays with the one that has its prompt or object. Other services are placed as before.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -294,6 +294,7 @@
     request.service = call.service;
     request.excludedReplicas = call.triedReplicas;
     request.zone = m_dependencies.zone;
+    request.spreadKey = call.incoming.attempt.value();
     request.maxOwnRequests = connectionShare(call.service);
     if (isPlacedByObject(call)) {
         request.warmState = WarmState::Object;
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -1,5 +1,6 @@
 #include "control/replica_table.h"
 
+#include "control/placement/paced_placement.h"
 #include "core/hash.h"
 
 #include <absl/strings/str_cat.h>
@@ -55,6 +56,9 @@
 constexpr Milliseconds MaxRegistryReadGap{2'000};
 /** Leaving replicas that are remembered; more than leave while one of them still serves. */
 constexpr std::size_t MaxLeavingReplicas = 1'000;
+/** Work to process a prompt again, and to load an object again, as a share of a typical request. */
+constexpr double PromptWork = 0.5;
+constexpr double ObjectWork = 0.2;
 
 Duration smoothed(Duration old, Duration sample)
 {
@@ -137,6 +141,16 @@
     return own + ofOthers * reportWeight(now - replica.reportedAt);
 }
 
+/** The same where an old report fades to the mean of the reports instead of to no requests. */
+double expectedRequests(const ReplicaState &replica, SteadyTime now)
+{
+    const double missing = 1 - reportWeight(now - replica.reportedAt);
+    const double requests =
+        estimatedRequests(replica, now) + replica.pace.meanOtherRequests * missing;
+    return now < replica.fullUntil ? std::max(requests, static_cast<double>(replica.entry.slots))
+                                   : requests;
+}
+
 } // namespace
 
 ReplicaIncarnation incarnationOf(const ReplicaEntry &entry)
@@ -478,6 +492,59 @@
     return secondIsBetter ? second : first;
 }
 
+bool reportsPace(const ReplicaState *replica)
+{
+    return replica->pace.latest.has_value();
+}
+
+/** Mean over the replicas of their mean response times; zero if none was measured. */
+Duration typicalResponse(const std::vector<const ReplicaState *> &replicas)
+{
+    Duration total{0};
+    Duration::rep measured = 0;
+    for (const ReplicaState *replica : replicas) {
+        total += replica->pace.meanResponse;
+        measured += replica->pace.responses > 0 ? 1 : 0;
+    }
+    return measured == 0 ? total : total / measured;
+}
+
+PacedCandidate pacedCandidate(const ReplicaState &replica, const PlacementRequest &request,
+                              Duration typical, SteadyTime now)
+{
+    PacedCandidate candidate;
+    candidate.id = replica.entry.id;
+    candidate.isWarm = !request.affinityKey.empty() && replica.entry.id == request.warmReplica;
+    candidate.isAvoided = request.avoidedReplicas.contains(replica.entry.id);
+    CompletionInputs &completion = candidate.completion;
+    completion.requestsAhead = expectedRequests(replica, now);
+    candidate.hasRoom = !isFull(replica, now)
+        && completion.requestsAhead < static_cast<double>(replica.entry.slots + MaxReplicaQueue);
+    completion.slots = replica.entry.slots;
+    completion.slowness =
+        lastingSlowness(replica.pace, typical) * momentarySlowness(replica.pace, now);
+    const bool mustLoad = !request.affinityKey.empty() && !candidate.isWarm;
+    const double loadWork = request.warmState == WarmState::Prompt ? PromptWork : ObjectWork;
+    completion.extraWork = mustLoad ? loadWork : 0;
+    completion.networkTime = replica.entry.zone == request.zone ? 0 : CrossZoneCost;
+    return candidate;
+}
+
+/** The choice where replicas report a pace, by the time at which the request would be done. */
+const ReplicaState *pacedReplica(const std::vector<const ReplicaState *> &healthy,
+                                 const PlacementRequest &request, SteadyTime now)
+{
+    const Duration typical = typicalResponse(healthy);
+    std::vector<PacedCandidate> candidates;
+    candidates.reserve(healthy.size());
+    for (const ReplicaState *replica : healthy) {
+        candidates.push_back(pacedCandidate(*replica, request, typical, now));
+    }
+    addExtraWorkPrice(candidates);
+    const std::string &key = request.affinityKey.empty() ? request.spreadKey : request.affinityKey;
+    return healthy[choosePaced(candidates, key).value()];
+}
+
 } // namespace
 
 std::vector<const ReplicaState *> eligibleReplicas(const ReplicaTable &table,
@@ -514,6 +581,9 @@
                                      return left->excludedUntil < right->excludedUntil;
                                  });
     }
+    if (std::any_of(healthy.begin(), healthy.end(), reportsPace)) {
+        return pacedReplica(healthy, request, now);
+    }
     if (const ReplicaState *preferred = affinityReplica(healthy, request, median, now)) {
         return preferred;
     }
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -140,6 +140,9 @@
     /** Requests with the same key are preferably served by the same replica; empty for no
      * preference. */
     std::string affinityKey;
+    /** Spreads requests without an affinity key over the replicas that report a pace; differs
+     * between requests. */
+    std::string spreadKey = std::string();
     /** Replicas that the request was sent to before, or that must not get it now. */
     std::set<ReplicaId> excludedReplicas;
     /** Replicas that have named a limit on their requests; they may be idle for that reason. */
