--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -112,6 +112,10 @@
         .add("reported", call.placement.reportedRequests)
         .add("waited_ms", toMillis(call.queueTime))
         .add("report_age_ms", toMillis(call.placement.reportAge));
+    if (call.placement.pace.has_value() && call.placement.paceAge.has_value()) {
+        line.add("pace", call.placement.pace->value())
+            .add("pace_age_ms", toMillis(*call.placement.paceAge));
+    }
 }
 
 void CallScheduler::logCompletion(const Call &call, const CallCompletion &completion) const
