--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -31,6 +31,8 @@
 /** Longest wait for a slot; callers abandon a stream after about two and a half seconds without an
  * event. */
 constexpr Milliseconds MaxQueueTime{1'500};
+/** A call of a program under way waits this long for its organisation's quota. */
+constexpr Milliseconds MaxQuotaWait{150};
 /** A free slot is noticed within this time; turns take some hundred milliseconds. */
 constexpr Milliseconds QueueCheckInterval{5};
 /** A VM that lost power leaves its connections open at the replicas. The share of each VM allows
@@ -65,6 +67,7 @@
     case CallRefusalReason::StreamVersionUnknown:
     case CallRefusalReason::StreamVersionGone:
     case CallRefusalReason::UnknownKey:
+    case CallRefusalReason::OverQuota:
         break;
     }
     return Milliseconds(0);
@@ -103,6 +106,8 @@
         return "unknown-key";
     case CallRefusalReason::KeysUnconfirmed:
         return "keys-unconfirmed";
+    case CallRefusalReason::OverQuota:
+        return "over-quota";
     }
     return "unknown";
 }
@@ -192,7 +197,46 @@
         refuse(handle, CallRefusalReason::Quarantined);
         return;
     }
-    if (opened.route->kind == RequestKind::Stream && opened.incoming.resumption.has_value()) {
+    if (opened.organisation != nullptr && opened.organisation->quota.isLimited()) {
+        claimQuota(handle);
+        return;
+    }
+    findOriginOrPrepare(handle);
+}
+
+bool CallScheduler::mayBeginProgram(const Call &call)
+{
+    const bool isFirstTurn =
+        call.route->kind == RequestKind::Stream && call.incoming.previousTurn.value().empty();
+    return isFirstTurn && !call.incoming.resumption.has_value()
+        && !call.incoming.program.value().empty();
+}
+
+void CallScheduler::claimQuota(CallHandle handle)
+{
+    const Call &call = m_calls[handle];
+    QuotaClaim claim;
+    claim.organisation = call.organisation->id;
+    claim.quota = call.organisation->quota;
+    claim.program = call.incoming.program;
+    claim.mayBegin = mayBeginProgram(call);
+    claim.maxWait = std::min<Duration>(MaxQuotaWait, call.deadline - m_dependencies.clock.now());
+    m_dependencies.quotas.claim(claim, [this, handle](const QuotaDecision &decision) {
+        Call &claimed = m_calls[handle];
+        if (!decision.granted) {
+            claimed.quotaDelay = decision.delay;
+            refuse(handle, CallRefusalReason::OverQuota);
+            return;
+        }
+        claimed.quotaGranted = true;
+        findOriginOrPrepare(handle);
+    });
+}
+
+void CallScheduler::findOriginOrPrepare(CallHandle handle)
+{
+    const Call &call = m_calls[handle];
+    if (call.route->kind == RequestKind::Stream && call.incoming.resumption.has_value()) {
         findStreamOrigin(handle);
         return;
     }
@@ -320,6 +364,7 @@
     request.service = call.service;
     request.excludedReplicas = call.triedReplicas;
     request.zone = m_dependencies.zone;
+    request.spreadKey = call.incoming.attempt.value();
     request.maxOwnRequests = connectionShare(call.service);
     if (isPlacedByObject(call)) {
         request.warmState = WarmState::Object;
@@ -518,6 +563,9 @@
 
 Milliseconds CallScheduler::retryDelay(const Call &call, CallRefusalReason reason) const
 {
+    if (reason == CallRefusalReason::OverQuota) {
+        return std::max(std::chrono::ceil<Milliseconds>(call.quotaDelay), Milliseconds(1));
+    }
     if (reason != CallRefusalReason::ReplicasLimited) {
         return retryDelayFor(reason);
     }
@@ -649,6 +697,12 @@
     }
 }
 
+void CallScheduler::noteReplicaPace(const ReplicaEntry &replica, ReplicaPace pace,
+                                    SteadyTime readAt)
+{
+    m_dependencies.replicas.notePace(incarnationOf(replica), pace, readAt);
+}
+
 void CallScheduler::endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation)
 {
     releaseReplica(m_calls[handle], observation);
@@ -662,6 +716,9 @@
     m_calls.erase(found);
     releaseReplica(call, ReplicaObservation());
     logCompletion(call, completion);
+    if (call.quotaGranted && call.dispatches == 0) {
+        m_dependencies.quotas.giveBack(call.organisation->id, call.incoming.program);
+    }
     if (completion.answerComplete) {
         m_dependencies.quarantine.noteAnswered(call.incoming.identity);
     }
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -5,6 +5,7 @@
 #include "control/ledger_relay.h"
 #include "control/limited_placement.h"
 #include "control/object_locations.h"
+#include "control/quotas/organisation_quotas.h"
 #include "control/replica_limits.h"
 #include "control/replica_table.h"
 #include "control/request_quarantine.h"
@@ -95,6 +96,8 @@
     UnknownKey,
     /** The API keys may have changed since they were last known to be in force. */
     KeysUnconfirmed,
+    /** The organisation has used up its quota of requests. */
+    OverQuota,
 };
 
 /** Name of the reason in log lines. */
@@ -176,6 +179,7 @@
         SendPermits &permits;
         RequestQuarantine &quarantine;
         const ConfigurationLease &lease;
+        OrganisationQuotas &quotas;
         ZoneId zone;
     };
 
@@ -203,6 +207,8 @@
      */
     void noteReplicaLimit(const ReplicaEntry &replica, const AttemptId &attempt,
                           const LimitStatement &statement, SteadyTime sentAt);
+    /** An answer of the replica, read at @p readAt, reports a pace. */
+    void noteReplicaPace(const ReplicaEntry &replica, ReplicaPace pace, SteadyTime readAt);
     /** Ends the attempt at the current replica; the call stays open. */
     void endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation);
     /**
@@ -234,6 +240,10 @@
         const Organisation *organisation = nullptr;
         SteadyTime openedAt;
         SteadyTime deadline;
+        /** A request of the organisation's quota has been granted to the call. */
+        bool quotaGranted = false;
+        /** If the quota did not allow the call: the time after which it may. */
+        Duration quotaDelay{0};
         ConversationSnapshotPtr history;
         /** Set once the caller has events of the stream: the software that may go on with it. */
         std::optional<StreamOrigin> streamOrigin;
@@ -265,6 +275,11 @@
     static ProgramId programOf(const Call &call);
     /** The id under which the call's organisation stores a turn. */
     static AttemptId storedTurn(const Call &call, const AttemptId &turn);
+    /** Asks for a request of the organisation's quota, and goes on if it is granted. */
+    void claimQuota(CallHandle handle);
+    /** True if the call may be the first one of its program, as far as can be seen. */
+    static bool mayBeginProgram(const Call &call);
+    void findOriginOrPrepare(CallHandle handle);
     /** Finds out which software version began the stream that the call continues. */
     void findStreamOrigin(CallHandle handle);
     void setStreamOrigin(CallHandle handle, const OriginLookup &lookup);
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -91,6 +91,11 @@
         line.add("configuration_age_ms",
                  toMillis(m_dependencies.lease.age().value_or(Duration::zero())));
         break;
+    case CallRefusalReason::OverQuota:
+        line.add("quota_per_s", call.organisation->quota.rate.value())
+            .add("begins_program", mayBeginProgram(call))
+            .add("retry_after_ms", toMillis(call.quotaDelay));
+        break;
     case CallRefusalReason::NoConfiguration:
     case CallRefusalReason::BadCall:
     case CallRefusalReason::DeadlineExceeded:
@@ -117,6 +122,10 @@
         .add("reported", call.placement.reportedRequests)
         .add("waited_ms", toMillis(call.queueTime))
         .add("report_age_ms", toMillis(call.placement.reportAge));
+    if (call.placement.pace.has_value() && call.placement.paceAge.has_value()) {
+        line.add("pace", call.placement.pace->value())
+            .add("pace_age_ms", toMillis(*call.placement.paceAge));
+    }
 }
 
 void CallScheduler::logCompletion(const Call &call, const CallCompletion &completion) const
--- a/core/clock.h
+++ b/core/clock.h
@@ -13,7 +13,8 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    // The name that the standard library asks of clocks.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now() noexcept;
 };
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -149,8 +149,12 @@
                        sendCrashNews(to, news);
                    })
     , m_quarantineRows(m_clock, m_timers, m_store, m_vms, m_quarantine, seed)
+    , m_quotas(
+          m_clock, m_timers, m_vms,
+          [this](const Endpoint &to, const peers::QuotaNote &note) { sendQuotaNote(to, note); },
+          seed)
     , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_streams, m_vms,
-                   m_health, m_limits, m_permits, m_quarantine, m_lease, m_settings.zone})
+                   m_health, m_limits, m_permits, m_quarantine, m_lease, m_quotas, m_settings.zone})
     , m_sweeper(
           m_clock, m_timers, m_store, m_vms,
           [this] { return maxTurnRetention(m_scheduler.routes()); }, seed)
@@ -177,6 +181,7 @@
                          })
 {
     m_lease.setTerm(leaseTerm(m_settings));
+    m_quotas.setTolerance(m_settings.quotaTolerance);
     m_storeProxyServer.listen(m_settings.peers);
     m_directoryServer.listen(m_settings.directory);
     m_readyServer.listen(m_settings.ready);
@@ -238,6 +243,8 @@
     m_settings.stopGrace = settings->stopGrace;
     m_settings.revocationBound = settings->revocationBound;
     m_lease.setTerm(leaseTerm(m_settings));
+    m_settings.quotaTolerance = settings->quotaTolerance;
+    m_quotas.setTolerance(m_settings.quotaTolerance);
     LogLine("reload").add("outcome", "taken").info();
 }
 
@@ -359,6 +366,13 @@
     sendToPeer(to, envelope);
 }
 
+void PlatformDaemon::sendQuotaNote(const Endpoint &to, const peers::QuotaNote &note)
+{
+    peers::Envelope envelope;
+    envelope.__set_quotaNote(note);
+    sendToPeer(to, envelope);
+}
+
 void PlatformDaemon::sendCrashNews(const Endpoint &to,
                                    const std::vector<peers::RequestCrashNews> &news)
 {
@@ -392,6 +406,9 @@
     if (envelope.__isset.sendPermit && sender.ok()) {
         m_permits.receive(*sender, envelope.sendPermit);
     }
+    if (envelope.__isset.quotaNote && sender.ok()) {
+        m_quotas.receive(*sender, envelope.quotaNote);
+    }
     if (envelope.__isset.registryCopy) {
         loadRegistryCopy(envelope.registryCopy);
     }
@@ -486,6 +503,7 @@
                       m_counters.requestsEndedWithReplica),
         formatCounter("boragepath_calls_quarantined_total", m_counters.quarantinedCalls),
         formatCounter("boragepath_calls_unauthorized_total", m_counters.unauthorizedCalls),
+        formatCounter("boragepath_calls_over_quota_total", m_counters.overQuotaCalls),
         formatCounter("boragepath_calls_keys_unconfirmed_total", m_counters.unconfirmedKeyCalls),
         formatCounter("boragepath_store_calls_total", m_store.calls()),
         formatCounter("boragepath_budget_changes_relayed_total", m_ledgerRelay.forwardedRequests()),
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -76,6 +76,7 @@
     void sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note);
     void sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note);
     void sendPermitNote(const Endpoint &to, const peers::SendPermitNote &note);
+    void sendQuotaNote(const Endpoint &to, const peers::QuotaNote &note);
     void sendCrashNews(const Endpoint &to, const std::vector<peers::RequestCrashNews> &news);
     /** Adds the sender to an envelope and sends it. */
     void sendToPeer(const Endpoint &to, peers::Envelope envelope);
@@ -113,6 +114,7 @@
     SendPermits m_permits;
     RequestQuarantine m_quarantine;
     QuarantineRows m_quarantineRows;
+    OrganisationQuotas m_quotas;
     CallScheduler m_scheduler;
     RowSweeper m_sweeper;
     platform::RegistryReader m_registry;
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -64,8 +64,9 @@
               index)
         , quarantine(fleet.m_clock, fleet.m_timers, directory, nullptr)
         , lease(fleet.m_clock)
+        , quotas(fleet.m_clock, fleet.m_timers, directory, nullptr, index)
         , scheduler({fleet.m_clock, fleet.m_timers, replicas, relay, turns, streams, directory,
-                     health, limits, permits, quarantine, lease, ZoneId("z")})
+                     health, limits, permits, quarantine, lease, quotas, ZoneId("z")})
     {
         scheduler.setRouteTable(routeTable(fleet.m_setup.hasPrompts));
     }
@@ -82,6 +83,7 @@
     SendPermits permits;
     RequestQuarantine quarantine;
     ConfigurationLease lease;
+    OrganisationQuotas quotas;
     CallScheduler scheduler;
 };
 
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -113,6 +113,7 @@
     SendPermits m_permits;
     RequestQuarantine m_quarantine;
     ConfigurationLease m_lease;
+    OrganisationQuotas m_quotas;
     CallScheduler m_scheduler;
     ForwardCounters m_counters;
     ReplicaConnectionPool m_replicaConnections;
