--- a/control/quotas/quota_bucket.cpp
+++ b/control/quotas/quota_bucket.cpp
@@ -32,6 +32,8 @@
 constexpr int MeanPrograms = 16;
 /** A program with this many times the mean requests has no precedence, and counts for no more. */
 constexpr double RunawayFactor = 4;
+/** Part of the burst, and of the programs that may begin, that such a program leaves to others. */
+constexpr double RunawayReserve = 0.25;
 /** Programs of a few requests vary too much for that factor. */
 constexpr double LeastRunawayRequests = 16;
 /**
@@ -48,7 +50,9 @@
 /** Programs are told to return up to this far ahead. */
 constexpr Milliseconds BookingHorizon{10'000};
 /** A program that has not returned this long after it was told to is not waited for. */
-constexpr Milliseconds ReturnGrace{700};
+constexpr Milliseconds ReturnGrace{1'000};
+/** Programs that are told to return within this time go before others that come now. */
+constexpr Milliseconds ReservationTime{2'000};
 /** A program that returns later than this has lost its place. */
 constexpr Milliseconds BookingValidity{3'000};
 constexpr std::size_t MaxBookings = 1'000;
@@ -56,6 +60,8 @@
 /** Waiting programs count for at least this part in the time that others are told. */
 constexpr double LeastReturnRatio = 0.5;
 constexpr Milliseconds LongestStartSpread{500};
+/** Programs are told to return this much later, since others may have come a little too early. */
+constexpr Milliseconds StartMargin{250};
 /** Calls of programs under way are told to return within this time. */
 constexpr Milliseconds LongestCallDelay{2'000};
 constexpr double LeastRate = 1e-3;
@@ -159,21 +165,28 @@
                         [&](const QuotaBooking &booking) { return booking.program == program; });
 }
 
-/** Programs that wait to begin now, as far as programs return, and those before @p program. */
-double programsDue(const QuotaState &state, const ProgramFingerprint &program, SteadyTime now)
+/**
+ * Programs that may begin now but are kept for those that were told to return now or soon, before
+ * @p program, as far as programs return.
+ */
+double startsReserved(const QuotaState &state, const QuotaLimits &limits,
+                      const ProgramFingerprint &program, SteadyTime now)
 {
-    double due = 0;
+    double expected = 0;
+    double reserved = 0;
     for (const QuotaBooking &booking : state.bookings) {
-        if (booking.at > now || booking.program == program) {
+        if (booking.at > now + ReservationTime || booking.program == program) {
             break;
         }
         if (booking.hasReturned) {
-            due += 1;
+            expected += 1;
         } else if (now < booking.at + ReturnGrace) {
-            due += state.returnRatio;
+            expected += state.returnRatio;
         }
+        const double untilThen = std::max(0.0, toSeconds(booking.at - now));
+        reserved = std::max(reserved, expected - untilThen * startRate(state, limits));
     }
-    return due;
+    return reserved;
 }
 
 void start(QuotaState &state, const QuotaLimits &limits, SteadyTime now)
@@ -194,8 +207,11 @@
     }
     endIdlePrograms(state, now);
     dropOldBookings(state, now);
-    const bool isSettling = !state.isSole && now < *state.startedAt + SettlingTime;
-    const double seconds = toSeconds(now - state.updatedAt) * (isSettling ? 0.5 : 1);
+    double seconds = toSeconds(now - state.updatedAt);
+    if (!state.isSole) {
+        const SteadyTime settledAt = *state.startedAt + SettlingTime;
+        seconds -= std::max(0.0, toSeconds(std::min(now, settledAt) - state.updatedAt)) / 2;
+    }
     state.updatedAt = now;
     state.starts += seconds * startRate(state, limits) * startRateCorrection(state, limits);
     state.starts = std::min(state.starts, startCapacity(state, limits));
@@ -225,10 +241,10 @@
     if (booking != state.bookings.end() && now >= booking->at) {
         return state.starts >= 1;
     }
-    const double due = programsDue(state, program, now);
+    const double reserved = startsReserved(state, limits, program, now);
     // Those that have not returned must not be waited for when no more can be saved for them.
-    return state.starts >= std::min(1 + due, startCapacity(state, limits))
-        || state.level >= expectedNeed(state, now) + (1 + due) * state.meanRequests;
+    return state.starts >= std::min(1 + reserved, startCapacity(state, limits))
+        || state.level >= expectedNeed(state, now) + (1 + reserved) * state.meanRequests;
 }
 
 void recordGrant(QuotaState &state, const BucketClaim &claim, bool isFirst, SteadyTime now)
@@ -258,9 +274,10 @@
                       const ProgramFingerprint &program, SteadyTime now, std::mt19937_64 &random)
 {
     const double interval = 1 / startRate(state, limits);
-    const Duration spread =
-        randomUpTo(std::min<Duration>(fromSeconds(interval), LongestStartSpread), random);
-    const SteadyTime earliest = now + timeToStart(state, limits, programsDue(state, program, now));
+    const Duration spread = std::min<Duration>(fromSeconds(2 * interval), StartMargin)
+        + randomUpTo(std::min<Duration>(fromSeconds(interval), LongestStartSpread), random);
+    const SteadyTime earliest =
+        now + timeToStart(state, limits, startsReserved(state, limits, program, now));
     const auto known = findBooking(state, program);
     if (known != state.bookings.end()) {
         // It keeps its place, also if it came back in time and could not begin.
@@ -323,11 +340,13 @@
     return {true, {}};
 }
 
-/** A runaway program takes its requests from those of programs that might begin. */
+/** A runaway program takes its requests from those of programs that might begin, if many may. */
 QuotaDecision decideRunaway(QuotaState &state, const QuotaLimits &limits, const BucketClaim &claim,
                             SteadyTime now, std::mt19937_64 &random)
 {
-    if (!mayStart(state, limits, claim.program, now)) {
+    const bool leavesReserve = state.level >= 1 + RunawayReserve * limits.capacity
+        && state.starts >= 1 + RunawayReserve * (startCapacity(state, limits) - 1);
+    if (!leavesReserve) {
         const Duration interval = fromSeconds(1 / startRate(state, limits));
         return {false, interval + randomUpTo(interval, random)};
     }
--- a/tests/support/quota_fleet.cpp
+++ b/tests/support/quota_fleet.cpp
@@ -287,7 +287,9 @@
     QuotaClaim claim;
     claim.organisation = run->load.name;
     claim.quota = run->load.setup.quota;
-    claim.program = run->program;
+    if (run->load.setup.namesPrograms) {
+        claim.program = run->program;
+    }
     claim.mayBegin = run->granted == 0;
     claim.maxWait = Milliseconds(run->granted == 0 ? 0 : 250);
     vm.quotas.claim(claim, [this, run](const QuotaDecision &decision) { handle(run, decision); });
--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -24,6 +24,8 @@
     std::size_t mostRequests = 14;
     /** The first this many VMs get all calls; 0 for all VMs. */
     std::size_t vms = 0;
+    /** False if the claims name no programs, so that each call is decided by itself. */
+    bool namesPrograms = true;
 };
 
 /** What became of the programs of one organisation. */
