--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -92,7 +92,7 @@
                  toMillis(m_dependencies.lease.age().value_or(Duration::zero())));
         break;
     case CallRefusalReason::OverQuota:
-        line.add("quota_per_s", call.organisation->quota.rate.value())
+        line.add("quota_per_s", absl::StrCat(call.organisation->quota.rate.value()))
             .add("begins_program", mayBeginProgram(call))
             .add("retry_after_ms", toMillis(call.quotaDelay));
         break;
--- a/tests/control/organisation_quotas_test.cpp
+++ b/tests/control/organisation_quotas_test.cpp
@@ -189,7 +189,6 @@
     fleet.run(Seconds(10));
     fleet.setQuota(organisation, {RequestRate(40), 20});
     fleet.run(Seconds(25));
-    const QuotaTolerance tolerance;
     EXPECT_LE(fleet.worstExcess(organisation, fleet.now() - Seconds(25)), 1);
     EXPECT_GE(fleet.useOfQuota(organisation, Seconds(10)), 0.9);
 }
