Scheduler: keys, quotas and quarantine of a call in a file of their own

Change: what decides whether a call may go on (key, quota, quarantine, whose it is) moved unchanged into call_scheduler_admission.cpp.

--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -1,7 +1,6 @@
 #include "control/call_scheduler.h"
 
 #include "control/admission/call_authorization.h"
-#include "control/admission/scoped_ids.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -31,9 +30,6 @@
 /** Longest wait for a slot; callers abandon a stream after about two and a half seconds without an
  * event. */
 constexpr Milliseconds MaxQueueTime{1'500};
-/** A call waits this long for its organisation's quota; a longer wait would make most turns late.
- */
-constexpr Milliseconds MaxQuotaWait{150};
 /** A free slot is noticed within this time; turns take some hundred milliseconds. */
 constexpr Milliseconds QueueCheckInterval{5};
 /** A VM that lost power leaves its connections open at the replicas. The share of each VM allows
@@ -137,30 +133,6 @@
     return true;
 }
 
-bool CallScheduler::isScoped(const Call &call)
-{
-    return call.table != nullptr && call.table->organisations.has_value();
-}
-
-OrganisationId CallScheduler::organisationOf(const Call &call)
-{
-    // Calls without a key share the empty id, so that they can't name what an organisation stores.
-    return call.organisation == nullptr ? OrganisationId() : call.organisation->id;
-}
-
-ProgramId CallScheduler::programOf(const Call &call)
-{
-    const IncomingCall &incoming = call.incoming;
-    const ProgramId program =
-        incoming.program.value().empty() ? ProgramId(incoming.attempt.value()) : incoming.program;
-    return isScoped(call) ? scopedProgram(program, organisationOf(call)) : program;
-}
-
-AttemptId CallScheduler::storedTurn(const Call &call, const AttemptId &turn)
-{
-    return isScoped(call) ? scopedTurn(turn, organisationOf(call)) : turn;
-}
-
 std::optional<CallRefusalReason> CallScheduler::resolveRoute(Call &call) const
 {
     if (m_table == nullptr) {
@@ -216,35 +188,6 @@
     findOriginOrPrepare(handle);
 }
 
-bool CallScheduler::mayBeginProgram(const Call &call)
-{
-    const bool isFirstTurn =
-        call.route->kind == RequestKind::Stream && call.incoming.previousTurn.value().empty();
-    return isFirstTurn && !call.incoming.resumption.has_value()
-        && !call.incoming.program.value().empty();
-}
-
-void CallScheduler::claimQuota(CallHandle handle)
-{
-    const Call &call = m_calls[handle];
-    QuotaClaim claim;
-    claim.organisation = call.organisation->id;
-    claim.quota = call.organisation->quota;
-    claim.program = call.incoming.program;
-    claim.mayBegin = mayBeginProgram(call);
-    claim.maxWait = std::min<Duration>(MaxQuotaWait, call.deadline - m_dependencies.clock.now());
-    m_dependencies.quotas.claim(claim, [this, handle](const QuotaDecision &decision) {
-        Call &claimed = m_calls[handle];
-        if (!decision.granted) {
-            claimed.quotaDelay = decision.delay;
-            refuse(handle, CallRefusalReason::OverQuota);
-            return;
-        }
-        claimed.quotaGranted = true;
-        findOriginOrPrepare(handle);
-    });
-}
-
 void CallScheduler::findOriginOrPrepare(CallHandle handle)
 {
     const Call &call = m_calls[handle];
@@ -627,33 +570,6 @@
         {replica, attempted.dispatchedAt, m_dependencies.clock.now(), observation.atBeginning});
 }
 
-std::optional<CallRefusalReason> CallScheduler::reasonNotToSend(const Call &call)
-{
-    return isAdmitted(call) ? keyProblem(call) : CallRefusalReason::Quarantined;
-}
-
-std::optional<CallRefusalReason> CallScheduler::keyProblem(const Call &call) const
-{
-    const bool isUnchanged = call.organisation == nullptr || call.table == m_table
-        || !m_table->organisations.has_value();
-    if (isUnchanged) {
-        return std::nullopt;
-    }
-    const Organisation *holder = m_table->organisations->findByKey(*call.incoming.key);
-    if (holder == nullptr) {
-        return CallRefusalReason::UnknownKey;
-    }
-    // The key now belongs to another organisation: a retry of the caller is resolved with the new
-    // table, so the call is refused as retryable.
-    return holder->id == call.organisation->id ? std::nullopt
-                                               : std::optional(CallRefusalReason::KeysUnconfirmed);
-}
-
-bool CallScheduler::isAdmitted(const Call &call)
-{
-    return m_dependencies.quarantine.admits(call.incoming.identity, call.incoming.attempt);
-}
-
 void CallScheduler::retryOnOtherReplica(CallHandle handle, const ReplicaObservation &observation,
                                         std::function<void(const CallDecision &)> done)
 {
