New programs are refused while the replicas have no room

Cause: with three times the load and three tenths of the model replicas down, every program begins, each slows the others, and turns that time out are sent again. A call that arrived also took the slot that had just become free, past those that wait for it.

Calls that arrive join those that wait. Services whose replicas name limits keep their own order.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -376,7 +376,7 @@
                 progress.observation.noLimitSince = progress.sentAt;
             }
             if (!head.wrongReplica) {
-                noteReplicaPace(progress, head);
+                noteReplicaReport(progress, head);
             }
             co_return true;
         }
@@ -402,6 +402,7 @@
     m_counters.unauthorizedCalls += refusal.reason == CallRefusalReason::UnknownKey ? 1 : 0;
     m_counters.overQuotaCalls += refusal.reason == CallRefusalReason::OverQuota ? 1 : 0;
     m_counters.unconfirmedKeyCalls += refusal.reason == CallRefusalReason::KeysUnconfirmed ? 1 : 0;
+    m_counters.overloadedCalls += refusal.reason == CallRefusalReason::Overloaded ? 1 : 0;
 }
 
 void CallForwarder::noteReplicaLeaving(const Progress &progress)
@@ -427,15 +428,17 @@
                });
 }
 
-void CallForwarder::noteReplicaPace(const Progress &progress, const ReplicaResponseHead &head)
+void CallForwarder::noteReplicaReport(const Progress &progress, const ReplicaResponseHead &head)
 {
-    if (!head.load.has_value() || !head.load->pace.has_value()) {
+    if (!head.load.has_value()) {
         return;
     }
-    // Not at the end of the answer: a stream may last longer than the pace stays as reported.
-    asio::post(m_control,
-               [this, replica = progress.dispatch.replica, pace = *head.load->pace,
-                readAt = m_clock.now()] { m_scheduler.noteReplicaPace(replica, pace, readAt); });
+    // Not at the end of the answer: a stream may last longer than the load stays as reported.
+    asio::post(
+        m_control,
+        [this, replica = progress.dispatch.replica, report = *head.load, readAt = m_clock.now()] {
+            m_scheduler.noteReplicaReport(replica, report, readAt);
+        });
 }
 
 asio::awaitable<CallForwarder::AttemptResult>
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -110,6 +110,8 @@
     std::atomic<std::uint64_t> overQuotaCalls = 0;
     /** Calls that were refused as the API keys were not known to be in force any more. */
     std::atomic<std::uint64_t> unconfirmedKeyCalls = 0;
+    /** First turns of programs refused because others need all slots. */
+    std::atomic<std::uint64_t> overloadedCalls = 0;
     /** Durations of served calls and streams. */
     Metrics latencies;
 };
@@ -156,7 +158,7 @@
     void noteReplicaLeaving(const Progress &progress);
     /** Tells the scheduler which limit the replica of this attempt names, if it names one. */
     void noteReplicaLimit(const Progress &progress, const LimitStatement &statement);
-    void noteReplicaPace(const Progress &progress, const ReplicaResponseHead &head);
+    void noteReplicaReport(const Progress &progress, const ReplicaResponseHead &head);
     boost::asio::awaitable<AttemptResult> forwardBufferedResponse(Progress &progress,
                                                                   ReplicaConnection &connection,
                                                                   const ReplicaResponseHead &head);
--- a/control/call_queue_order.h
+++ b/control/call_queue_order.h
@@ -20,6 +20,8 @@
     int priority = 0;
     /** A replica has served an earlier call of the program, or the beginning of this stream. */
     bool programStarted = false;
+    /** Any replica of the service with a free slot may take it. */
+    bool fitsAnyReplica = true;
     SteadyTime queuedAt;
 };
 
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "control/call_scheduler.h"
 
 #include "control/admission/call_authorization.h"
+#include "control/admission/program_admission.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -65,6 +66,7 @@
     case CallRefusalReason::StreamVersionGone:
     case CallRefusalReason::UnknownKey:
     case CallRefusalReason::OverQuota:
+    case CallRefusalReason::Overloaded:
         break;
     }
     return Milliseconds(0);
@@ -105,6 +107,8 @@
         return "keys-unconfirmed";
     case CallRefusalReason::OverQuota:
         return "over-quota";
+    case CallRefusalReason::Overloaded:
+        return "overloaded";
     }
     return "unknown";
 }
@@ -344,6 +348,31 @@
     return !call.promptReplica.value().empty() || call.streamOrigin.has_value();
 }
 
+bool CallScheduler::hasLimitedReplica(const PoolName &service) const
+{
+    const std::vector<const ReplicaState *> replicas = m_dependencies.replicas.usable(service);
+    return std::any_of(replicas.begin(), replicas.end(), [this](const ReplicaState *replica) {
+        return m_dependencies.limits.limitOf(replica->fingerprint).has_value();
+    });
+}
+
+ServiceLoad CallScheduler::loadOf(const PoolName &service) const
+{
+    ServiceLoad load;
+    const auto utilization = m_utilizations.find(service);
+    if (utilization != m_utilizations.end()) {
+        load.utilization = utilization->second;
+    }
+    // Calls that wait for a permit are served by turns, and leave the other replicas to the rest.
+    if (hasLimitedReplica(service)) {
+        return load;
+    }
+    for (const QueuedCall &item : m_queue) {
+        load.waitingCalls += item.service == service && item.fitsAnyReplica ? 1 : 0;
+    }
+    return load;
+}
+
 bool CallScheduler::isPlacedByObject(const Call &call)
 {
     return call.route->hasAffinity && !call.route->hasPrompt() && !call.incoming.object.empty();
@@ -360,10 +389,16 @@
         refuse(handle, *reason);
         return;
     }
+    const ServiceLoad load = loadOf(call.service);
+    if (beginsProgram(call) && !mayBeginProgram(load, m_dependencies.clock.now())) {
+        refuse(handle, CallRefusalReason::Overloaded);
+        return;
+    }
     if (m_queue.empty()) {
         m_placement.beginRound();
     }
-    const ReplicaState *replica = findReadyReplica(call);
+    // A free slot belongs to a call that waits for it, in the order of the queue.
+    const ReplicaState *replica = load.waitingCalls == 0 ? findReadyReplica(call) : nullptr;
     if (replica != nullptr) {
         dispatchTo(call, handle, *replica);
         return;
@@ -421,6 +456,7 @@
         call.organisation != nullptr && call.organisation->priority.has_value();
     queued.priority = hasOwnPriority ? *call.organisation->priority : call.route->priority;
     queued.programStarted = isUnderWay(call);
+    queued.fitsAnyReplica = !call.streamOrigin.has_value() && call.triedReplicas.empty();
     queued.queuedAt = m_dependencies.clock.now();
     return queued;
 }
@@ -521,6 +557,9 @@
     if (reason == CallRefusalReason::OverQuota) {
         return std::max(std::chrono::ceil<Milliseconds>(call.quotaDelay), Milliseconds(1));
     }
+    if (reason == CallRefusalReason::Overloaded) {
+        return programRetryDelay(programOf(call).value());
+    }
     if (reason != CallRefusalReason::ReplicasLimited) {
         return retryDelayFor(reason);
     }
@@ -626,10 +665,14 @@
     }
 }
 
-void CallScheduler::noteReplicaPace(const ReplicaEntry &replica, ReplicaPace pace,
-                                    SteadyTime readAt)
+void CallScheduler::noteReplicaReport(const ReplicaEntry &replica, const ReportedLoad &report,
+                                      SteadyTime readAt)
 {
-    m_dependencies.replicas.notePace(incarnationOf(replica), pace, readAt);
+    recordReport(m_utilizations[replica.service], report.running + report.waiting, replica.slots,
+                 readAt);
+    if (report.pace.has_value()) {
+        m_dependencies.replicas.notePace(incarnationOf(replica), *report.pace, readAt);
+    }
 }
 
 void CallScheduler::endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation)
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/admission/configuration_lease.h"
+#include "control/admission/program_admission.h"
 #include "control/call_queue_order.h"
 #include "control/ledger_relay.h"
 #include "control/limited_placement.h"
@@ -98,6 +99,8 @@
     KeysUnconfirmed,
     /** The organisation has used up its quota of requests. */
     OverQuota,
+    /** The program has not begun, and those under way need all slots. */
+    Overloaded,
 };
 
 /** Name of the reason in log lines. */
@@ -207,8 +210,9 @@
      */
     void noteReplicaLimit(const ReplicaEntry &replica, const AttemptId &attempt,
                           const LimitStatement &statement, SteadyTime sentAt);
-    /** An answer of the replica, read at @p readAt, reports a pace. */
-    void noteReplicaPace(const ReplicaEntry &replica, ReplicaPace pace, SteadyTime readAt);
+    /** An answer of the replica, read at @p readAt, reports its load. */
+    void noteReplicaReport(const ReplicaEntry &replica, const ReportedLoad &report,
+                           SteadyTime readAt);
     /** Ends the attempt at the current replica; the call stays open. */
     void endReplicaAttempt(CallHandle handle, const ReplicaObservation &observation);
     /**
@@ -282,7 +286,11 @@
     /** Asks for a request of the organisation's quota, and goes on if it is granted. */
     void claimQuota(CallHandle handle);
     /** True if the call may be the first one of its program, as far as can be seen. */
-    static bool mayBeginProgram(const Call &call);
+    static bool mayBeFirstCall(const Call &call);
+    /** True for the first turn of a program, if it has neither been sent to a replica yet. */
+    static bool beginsProgram(const Call &call);
+    bool hasLimitedReplica(const PoolName &service) const;
+    ServiceLoad loadOf(const PoolName &service) const;
     void findOriginOrPrepare(CallHandle handle);
     /** Finds out which software version began the stream that the call continues. */
     void findStreamOrigin(CallHandle handle);
@@ -338,6 +346,7 @@
     LimitedPlacement m_placement;
     std::map<CallHandle, Call> m_calls;
     std::vector<QueuedCall> m_queue;
+    std::map<PoolName, ReportedUtilization> m_utilizations;
     bool m_queueCheckScheduled = false;
     std::uint64_t m_nextHandle = 1;
 };
--- a/control/call_scheduler_admission.cpp
+++ b/control/call_scheduler_admission.cpp
@@ -37,7 +37,7 @@
     return isScoped(call) ? scopedTurn(turn, organisationOf(call)) : turn;
 }
 
-bool CallScheduler::mayBeginProgram(const Call &call)
+bool CallScheduler::mayBeFirstCall(const Call &call)
 {
     const bool isFirstTurn =
         call.route->kind == RequestKind::Stream && call.incoming.previousTurn.value().empty();
@@ -45,6 +45,11 @@
         && !call.incoming.program.value().empty();
 }
 
+bool CallScheduler::beginsProgram(const Call &call)
+{
+    return mayBeFirstCall(call) && call.dispatches == 0 && !isUnderWay(call);
+}
+
 void CallScheduler::claimQuota(CallHandle handle)
 {
     const Call &call = m_calls[handle];
@@ -52,7 +57,7 @@
     claim.organisation = call.organisation->id;
     claim.quota = call.organisation->quota;
     claim.program = call.incoming.program;
-    claim.mayBegin = mayBeginProgram(call);
+    claim.mayBegin = mayBeFirstCall(call);
     claim.maxWait = std::min<Duration>(MaxQuotaWait, call.deadline - m_dependencies.clock.now());
     m_dependencies.quotas.claim(claim, [this, handle](const QuotaDecision &decision) {
         Call &claimed = m_calls[handle];
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -93,9 +93,14 @@
         break;
     case CallRefusalReason::OverQuota:
         line.add("quota_per_s", absl::StrCat(call.organisation->quota.rate.value()))
-            .add("begins_program", mayBeginProgram(call))
+            .add("begins_program", mayBeFirstCall(call))
             .add("retry_after_ms", toMillis(call.quotaDelay));
         break;
+    case CallRefusalReason::Overloaded:
+        line.add("service", call.service.value())
+            .add("waiting", static_cast<std::int64_t>(loadOf(call.service).waitingCalls))
+            .add("utilization", absl::StrCat(loadOf(call.service).utilization.mean));
+        break;
     case CallRefusalReason::NoConfiguration:
     case CallRefusalReason::BadCall:
     case CallRefusalReason::DeadlineExceeded:
--- a/operators/request_explanation.cpp
+++ b/operators/request_explanation.cpp
@@ -43,6 +43,7 @@
     {"keys-unconfirmed",
      "this VM has not read the configuration for so long that API keys may have been taken away"},
     {"over-quota", "the organisation has used up its quota of requests over all VMs"},
+    {"overloaded", "programs under way needed all slots, so no further program could begin"},
     {"no-replica", "no replica of the service could be tried any more"},
     {"version-unknown",
      "nobody knew which software version had begun the stream that the request continues"},
--- a/tests/control/call_queue_order_test.cpp
+++ b/tests/control/call_queue_order_test.cpp
@@ -153,6 +153,14 @@
         putReplica(1);
     }
 
+    void useStreams()
+    {
+        auto table = std::make_shared<RouteTable>(*m_scheduler.routes());
+        table->version = ConfigurationVersion(2);
+        table->routes.front().kind = RequestKind::Stream;
+        m_scheduler.setRouteTable(table);
+    }
+
     void putReplica(std::int64_t slots)
     {
         ReplicaEntry entry;
@@ -178,9 +186,10 @@
     }
 
     void openCall(const std::string &id, std::optional<Milliseconds> programDuration = std::nullopt,
-                  const std::string &object = "")
+                  const std::string &object = "", const std::string &program = "")
     {
         IncomingCall call;
+        call.program = ProgramId(program);
         call.object = object;
         call.attempt = AttemptId(id);
         call.host = "h";
@@ -299,6 +308,34 @@
     EXPECT_EQ(m_sent.size(), 2U);
 }
 
+/**
+ * While calls wait for slots, a program that begins would be served in the pauses of those under
+ * way and make all of them late.
+ */
+TEST_F(CallQueueTest, WhileCallsWaitNoProgramBeginsAndThoseUnderWayGoOn)
+{
+    useStreams();
+    openCall("first");
+    openCall("second");
+    openCall("waiting");
+    openCall("new", std::nullopt, "", "program");
+    EXPECT_EQ(m_refused, std::vector<std::string>{"new"});
+    {
+        SCOPED_TRACE("a call that arrives later does not pass the one that waits");
+        openCall("later");
+        closeCall("first");
+        EXPECT_EQ(m_sent.back(), "waiting");
+    }
+    {
+        SCOPED_TRACE("a program begins once nothing waits");
+        closeCall("second");
+        closeCall("waiting");
+        closeCall("later");
+        openCall("again", std::nullopt, "", "program");
+        EXPECT_EQ(m_sent.back(), "again");
+    }
+}
+
 /**
  * When all VMs lose power, their old connections stay open at the replicas for seconds.
  * The connections of the restarted processes must fit within the limit as well.
