--- a/control/outage/budget_lenders.cpp
+++ b/control/outage/budget_lenders.cpp
@@ -162,7 +162,7 @@
     } else {
         LogLine("lenders").add("outcome", "unreadable").error();
         // Nobody knows what has been lent: the next table counts all lenders as lost.
-        m_table = LenderTable(LenderPartitions, LenderTenure{"unknown", PreviousTenure::Lost});
+        m_table = LenderTable(LenderPartitions, LenderTenure{"unknown", PreviousTenure::Lost, ""});
     }
     std::map<std::size_t, OwnTenure> tenures;
     for (std::size_t partition = 0; partition < m_table.size(); ++partition) {
@@ -283,7 +283,7 @@
     LenderTable table = m_table;
     if (table.empty()) {
         const PreviousTenure before = m_isFirstStart ? PreviousTenure::None : PreviousTenure::Lost;
-        table = LenderTable(LenderPartitions, LenderTenure{"", before});
+        table = LenderTable(LenderPartitions, LenderTenure{"", before, ""});
     }
     replaceLostLenders(table, availableVms());
     removeOldReleases();
