--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -348,31 +348,6 @@
     return !call.promptReplica.value().empty() || call.streamOrigin.has_value();
 }
 
-bool CallScheduler::hasLimitedReplica(const PoolName &service) const
-{
-    const std::vector<const ReplicaState *> replicas = m_dependencies.replicas.usable(service);
-    return std::any_of(replicas.begin(), replicas.end(), [this](const ReplicaState *replica) {
-        return m_dependencies.limits.limitOf(replica->fingerprint).has_value();
-    });
-}
-
-ServiceLoad CallScheduler::loadOf(const PoolName &service) const
-{
-    ServiceLoad load;
-    const auto utilization = m_utilizations.find(service);
-    if (utilization != m_utilizations.end()) {
-        load.utilization = utilization->second;
-    }
-    // Calls that wait for a permit are served by turns, and leave the other replicas to the rest.
-    if (hasLimitedReplica(service)) {
-        return load;
-    }
-    for (const QueuedCall &item : m_queue) {
-        load.waitingCalls += item.service == service && item.fitsAnyReplica ? 1 : 0;
-    }
-    return load;
-}
-
 bool CallScheduler::isPlacedByObject(const Call &call)
 {
     return call.route->hasAffinity && !call.route->hasPrompt() && !call.incoming.object.empty();
@@ -412,26 +387,6 @@
     scheduleQueueCheck();
 }
 
-CallRefusalReason CallScheduler::noReplicaReason(const Call &call) const
-{
-    bool isVersionGone = call.streamOrigin.has_value();
-    bool allLimited = true;
-    for (const ReplicaState *replica : m_dependencies.replicas.usable(call.service)) {
-        if (call.streamOrigin.has_value()
-            && replica->entry.softwareVersion != call.streamOrigin->version) {
-            continue;
-        }
-        isVersionGone = false;
-        allLimited = allLimited && m_dependencies.limits.limitOf(replica->fingerprint).has_value();
-    }
-    if (isVersionGone) {
-        return CallRefusalReason::StreamVersionGone;
-    }
-    const bool hasReplica = !m_dependencies.replicas.usable(call.service).empty();
-    return hasReplica && allLimited ? CallRefusalReason::ReplicasLimited
-                                    : CallRefusalReason::NoReplica;
-}
-
 bool CallScheduler::isHopeless(const QueuedCall &item, std::size_t callsAhead) const
 {
     const Call &call = m_calls.at(item.handle);
