Test: a lender that stops while a loan is in use releases nothing

Cause: no test failed when a release did not wait for loans; a successor could then have lent the same tokens again. Change: a turn runs by a loan while the store is back and its lender stops.

--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -475,6 +475,28 @@
     EXPECT_EQ(fleet.reserve(second, "p", Seconds(2)), ReservationResult::StoreUnavailable);
 }
 
+/**
+ * The store is back, and a turn still runs by a loan that no row contains. A lender that gave its
+ * partition away now would leave a successor that lends the same tokens again.
+ */
+TEST(BudgetLending, AVmThatStopsWhileALoanIsInUseReleasesNothing)
+{
+    LendingFleet fleet(3);
+    const std::size_t lender = fleet.lenderOf("p");
+    fleet.setStoreAway(true);
+    for (int call = 0; call < 10 && !fleet.vm(lender).health.unavailable(); ++call) {
+        fleet.reserve(lender, absl::StrCat("other-", call), Milliseconds(500));
+    }
+    ASSERT_TRUE(fleet.vm(lender).health.unavailable());
+    ASSERT_EQ(fleet.reserve(lender, "p"), ReservationResult::Granted);
+    fleet.setStoreAway(false);
+    ASSERT_FALSE(fleet.vm(lender).health.unavailable());
+    ASSERT_TRUE(fleet.vm(lender).grants.hasLoans());
+    fleet.stop(lender);
+    fleet.timers.run(FeedTime * 3);
+    EXPECT_EQ(fleet.lenderOf("p"), fleet.size());
+}
+
 /** The store stays away longer than a stop may take, so that the loans are lost with the VM. */
 TEST(BudgetLending, AVmThatStopsWithLoansReleasesNothing)
 {
