Lenders: a tenure has a number, and a removed row is replaced

Cause: a VM that was replaced as a lender and got its partition back, both in changes that it read together, went on with its old tenure and did not wait for what the other one had lent. After the row was removed, as OPERATIONS advises for a damaged one, no new table could be written, since the write was conditional on the version of the removed row. Found by reading. Change: each change of a lender raises a number in its entry, and a tenure goes on only with the same number; a write is conditional on the row's absence where it is gone. A release leaves its list also if some of the VM's partitions were lost ones.

--- a/control/outage/budget_lenders.cpp
+++ b/control/outage/budget_lenders.cpp
@@ -87,6 +87,14 @@
             m_timers.after(retryDelay(), [this] { read(); });
             return;
         }
+        const bool isRowGone =
+            std::none_of(result.rows.begin(), result.rows.end(),
+                         [](const StoreRow &row) { return row.name == lenderRow(); });
+        if (isRowGone && m_rowExists) {
+            m_tableVersion = result.version;
+            m_rowExists = false;
+            forgetTable();
+        }
         apply(result.rows);
         m_confirmedAt = askedAt;
         m_hasRead = true;
@@ -141,7 +149,7 @@
 
 BudgetLenders::OwnTenure BudgetLenders::beginTenure(const LenderTenure &entry) const
 {
-    OwnTenure tenure{m_clock.bootNow(), entry.previous, nullptr};
+    OwnTenure tenure{entry.number, m_clock.bootNow(), entry.previous, nullptr};
     const auto release = m_releases.find(entry.releasedBy);
     if (entry.previous == PreviousTenure::Released && release != m_releases.end()) {
         tenure.programsBefore = release->second.programs;
@@ -155,27 +163,44 @@
         return;
     }
     m_tableVersion = row.version;
+    m_rowExists = !row.removed;
     const std::optional<LenderTable> table =
         row.removed ? std::nullopt : decodeLenderTable(row.value);
     if (table.has_value()) {
-        m_table = *table;
+        setTable(*table);
     } else {
-        LogLine("lenders").add("outcome", "unreadable").error();
-        // Nobody knows what has been lent: the next table counts all lenders as lost.
-        m_table = LenderTable(LenderPartitions, LenderTenure{"unknown", PreviousTenure::Lost, ""});
+        forgetTable();
     }
+}
+
+void BudgetLenders::forgetTable()
+{
+    LogLine("lenders").add("outcome", "unreadable").error();
+    // The table that replaces it counts all lenders as lost.
+    std::int64_t number = 0;
+    for (const LenderTenure &tenure : m_table) {
+        number = std::max(number, tenure.number);
+    }
+    setTable(
+        LenderTable(LenderPartitions, LenderTenure{"unknown", PreviousTenure::Lost, "", number}));
+}
+
+void BudgetLenders::setTable(LenderTable table)
+{
+    m_table = std::move(table);
     std::map<std::size_t, OwnTenure> tenures;
     for (std::size_t partition = 0; partition < m_table.size(); ++partition) {
-        if (m_table[partition].lender != m_self) {
+        const LenderTenure &entry = m_table[partition];
+        if (entry.lender != m_self) {
             continue;
         }
         const auto known = m_ownTenures.find(partition);
-        tenures[partition] =
-            known != m_ownTenures.end() ? known->second : beginTenure(m_table[partition]);
+        const bool goesOn = known != m_ownTenures.end() && known->second.number == entry.number;
+        tenures[partition] = goesOn ? known->second : beginTenure(entry);
     }
     m_ownTenures = std::move(tenures);
     LogLine("lenders")
-        .add("row_version", static_cast<std::int64_t>(row.version.value()))
+        .add("row_version", static_cast<std::int64_t>(m_tableVersion.value()))
         .add("partitions", static_cast<std::int64_t>(m_ownTenures.size()))
         .add("outcome", "read")
         .info();
@@ -283,7 +308,7 @@
     LenderTable table = m_table;
     if (table.empty()) {
         const PreviousTenure before = m_isFirstStart ? PreviousTenure::None : PreviousTenure::Lost;
-        table = LenderTable(LenderPartitions, LenderTenure{"", before, ""});
+        table = LenderTable(LenderPartitions, LenderTenure{"", before, "", 0});
     }
     replaceLostLenders(table, availableVms());
     removeOldReleases();
@@ -316,7 +341,7 @@
 {
     m_writing = true;
     RowTransaction transaction;
-    transaction.conditions = {{lenderRow(), m_tableVersion}};
+    transaction.conditions = {{lenderRow(), m_rowExists ? m_tableVersion : RowRevision(0)}};
     transaction.puts = std::move(others);
     transaction.puts.push_back({lenderRow(), encodeLenderTable(table)});
     m_store.transact(std::move(transaction),
@@ -364,11 +389,11 @@
         return;
     }
     // A partition whose lender before left no list could hold programs that nobody has met since.
-    const bool knowsAll =
-        recentPrograms.has_value()
+    const bool knowsAll = recentPrograms.has_value()
         && std::all_of(m_ownTenures.begin(), m_ownTenures.end(), [this](const auto &item) {
-               return isSettled(item.second) || item.second.programsBefore != nullptr;
-           });
+                              return !isComplete(item.second) || isSettled(item.second)
+                                  || item.second.programsBefore != nullptr;
+                          });
     std::vector<RowPut> puts;
     if (knowsAll) {
         const ReleasedPrograms programs = programsToPassOn(*recentPrograms);
--- a/control/outage/budget_lenders.h
+++ b/control/outage/budget_lenders.h
@@ -83,6 +83,8 @@
     /** When this VM learnt that it lends for a partition, and what came before. */
     struct OwnTenure
     {
+        /** Its number in the table. */
+        std::int64_t number = 0;
         BootTime since;
         PreviousTenure previous = PreviousTenure::None;
         /** The programs that the lender before knew; null if that is unknown. */
@@ -106,6 +108,9 @@
     void follow();
     void apply(const std::vector<StoreRow> &rows);
     void applyTable(const StoreRow &row);
+    void setTable(LenderTable table);
+    /** The row is gone or can't be read, so that nobody knows what has been lent. */
+    void forgetTable();
     void applyRelease(const StoreRow &row);
     /** The tenure that begins with an entry of the table for this VM. */
     OwnTenure beginTenure(const LenderTenure &entry) const;
@@ -128,8 +133,9 @@
     bool m_isFirstStart;
     std::mt19937_64 m_random;
     LenderTable m_table;
-    /** Version of the row with the table; 0 if there is none. */
+    /** Version of the last change of the row with the table that was seen. */
     RowRevision m_tableVersion;
+    bool m_rowExists = false;
     RowRevision m_feedVersion;
     bool m_hasRead = false;
     /** The table was the newest one at this time. */
--- a/control/outage/lender_table.cpp
+++ b/control/outage/lender_table.cpp
@@ -40,8 +40,8 @@
     return loads;
 }
 
-/** Lender, previous tenure and who released the partition. */
-constexpr std::size_t NumbersPerPartition = 3;
+/** Lender, previous tenure, who released the partition, and the number of the tenure. */
+constexpr std::size_t NumbersPerPartition = 4;
 
 std::optional<std::string> nameOf(const json::array &names, const json::value &number)
 {
@@ -88,6 +88,7 @@
         partitions.push_back(numberOf(tenure.lender));
         partitions.push_back(static_cast<std::int64_t>(tenure.previous));
         partitions.push_back(numberOf(tenure.releasedBy));
+        partitions.push_back(tenure.number);
     }
     return json::serialize(json::object{{"names", names}, {"partitions", partitions}});
 }
@@ -109,10 +110,12 @@
         const std::optional<std::string> lender = nameOf(names, partitions[first]);
         const std::optional<PreviousTenure> previous = previousTenureOf(partitions[first + 1]);
         const std::optional<std::string> releasedBy = nameOf(names, partitions[first + 2]);
-        if (!lender.has_value() || !previous.has_value() || !releasedBy.has_value()) {
+        const json::value &number = partitions[first + 3];
+        if (!lender.has_value() || !previous.has_value() || !releasedBy.has_value()
+            || !number.is_int64()) {
             return std::nullopt;
         }
-        table.push_back({*lender, *previous, *releasedBy});
+        table.push_back({*lender, *previous, *releasedBy, number.get_int64()});
     }
     return table;
 }
@@ -158,6 +161,7 @@
             tenure.releasedBy.clear();
         }
         tenure.lender = leastLoaded(loads);
+        tenure.number += 1;
         loads[tenure.lender] += 1;
     }
 }
@@ -174,6 +178,7 @@
         }
         tenure.previous = PreviousTenure::Released;
         tenure.releasedBy = lender;
+        tenure.number += 1;
         tenure.lender = successors.empty() ? std::string() : leastLoaded(loads);
         if (!successors.empty()) {
             loads[tenure.lender] += 1;
--- a/control/outage/lender_table.h
+++ b/control/outage/lender_table.h
@@ -30,6 +30,9 @@
     PreviousTenure previous = PreviousTenure::None;
     /** The lender that released the partition; empty if none did. */
     std::string releasedBy;
+    /** Grows with each change of the lender, so that a VM notices if it lent before and after
+     * another one. */
+    std::int64_t number = 0;
 
     friend bool operator==(const LenderTenure &, const LenderTenure &) = default;
 };
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -475,6 +475,39 @@
     EXPECT_EQ(fleet.reserve(second, "p", Seconds(2)), ReservationResult::StoreUnavailable);
 }
 
+/**
+ * A VM is cut off so long that another one lends in its place, and gets its partition back before
+ * it has read that. What the other one has lent must not be lent again.
+ */
+TEST(BudgetLending, ALenderThatWasReplacedMeanwhileBeginsANewTenure)
+{
+    LendingFleet fleet(2);
+    const std::size_t lender = fleet.lenderOf("p");
+    const RowName name{"budget-lenders", "", "all"};
+    LenderTable table = decodeLenderTable(fleet.store.rows().at(name).value).value();
+    const std::string first = table[lenderPartition(ProgramId("p"))].lender;
+    replaceLostLenders(table, {first == "vm-0/1" ? "vm-1/2" : "vm-0/1"});
+    replaceLostLenders(table, {first});
+    fleet.store.put(name, encodeLenderTable(table));
+    fleet.timers.run(FeedTime);
+    EXPECT_FALSE(fleet.vm(lender).lenders.hasFullAuthority(ProgramId("p")));
+}
+
+/** An operator removes a damaged row. */
+TEST(BudgetLending, WithoutTheRowAllLendersCountAsLostAndNewOnesAreNamed)
+{
+    LendingFleet fleet(3);
+    const RowName name{"budget-lenders", "", "all"};
+    fleet.store.remove(name);
+    fleet.timers.run(FeedTime * 3);
+    EXPECT_EQ(fleet.lenderOf("p"), fleet.size());
+    ASSERT_TRUE(fleet.store.rows().contains(name));
+    const LenderTable table = decodeLenderTable(fleet.store.rows().at(name).value).value();
+    EXPECT_TRUE(std::all_of(table.begin(), table.end(), [](const LenderTenure &tenure) {
+        return tenure.previous == PreviousTenure::Lost && tenure.lender != "unknown";
+    }));
+}
+
 /**
  * The store is back, and a turn still runs by a loan that no row contains. A lender that gave its
  * partition away now would leave a successor that lends the same tokens again.
