Soak: VMs know whether the system starts for the first time

Cause: without it no VM of the soak lends before ten minutes have passed, so that loans were never tested by it. Change: the settings of a VM's first process say that it is the first start, those of later ones not.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -64,6 +64,7 @@
          << "listen.directory=" << config.address << ":" << DirectoryPort << "\n"
          << "internalPorts=7380,7395\nseeds=" << absl::StrJoin(seeds, ",") << "\n"
          << "limits.memoryMb=140\nbounds.graceS=8\n"
+         << "bootstrap=" << (vm.hasStarted ? "false" : "true") << "\n"
          << "platform.addr=" << config.store.text() << "\npeers.secret=soak\n"
          << config.settings;
 }
@@ -85,6 +86,7 @@
     }
     m_onDisruption(index, false);
     Vm &vm = m_vms[index];
+    writeSettings(vm);
     const std::string log = absl::StrCat(m_folder, "/", vm.config.name, ".log");
     posix_spawn_file_actions_t fileActions;
     posix_spawn_file_actions_init(&fileActions);
@@ -106,6 +108,7 @@
         throw std::runtime_error(absl::StrCat("cannot start process ", m_executable));
     }
     vm.terminationRequested = false;
+    vm.hasStarted = true;
 }
 
 void Fleet::signal(std::size_t index, int signalNumber)
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -62,6 +62,8 @@
         VmConfig config;
         pid_t process = 0;
         bool terminationRequested = false;
+        /** Only its first process may take it that no program has used a budget before. */
+        bool hasStarted = false;
     };
 
     std::string settingsPath(const Vm &vm) const;
