--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -770,6 +770,8 @@
         process = 0;
         throw std::runtime_error("cannot start " + parts.front());
     }
+    // So that the script can end what is left if this program is ended.
+    std::ofstream(m_folder + "/processes", std::ios::app) << process << "\n";
     m_record.add("start " + name);
 }
 
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -6,7 +6,16 @@
 folder=$(cd "$2" && pwd)
 root=$(cd "$(dirname "$0")/.." && pwd)
 scratch=$(mktemp -d)
-trap 'rm -rf "$scratch"' EXIT
+# Ends the daemons that the case started, if it could not do so itself.
+clean() {
+    for process in $(cat "$scratch/processes" 2>/dev/null); do
+        if grep -qs "$scratch" "/proc/$process/environ"; then
+            kill -9 "$process"
+        fi
+    done
+    rm -rf "$scratch"
+}
+trap clean EXIT
 command=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/system.toml")
 [ -x "$root/review/build/cases" ] && [ -x "$root/${command%% *}" ] || exit 2
 cd "$root" || exit 2
