--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
+rm -f build/*.o build/cases
 for source in harness/*.cpp; do
     name=$(basename "$source" .cpp)
     g++ -std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -DBOOST_ASIO_NO_DEPRECATED \
