--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -156,6 +156,17 @@
                                     });
 }
 
+asio::awaitable<void> CallForwarder::noteOutput(CallHandle handle, const StreamEvent &event)
+{
+    std::function<void(std::function<void(const bool &)>)> note =
+        [this, handle, text = event.data + '\n',
+         id = event.id](const std::function<void(const bool &)> &done) {
+            m_scheduler.noteStreamOutput(handle, text, id);
+            done(true);
+        };
+    co_await runOnControlThread<bool>(m_control, std::move(note));
+}
+
 asio::awaitable<void> CallForwarder::serve(IncomingCall call, ReplicaCodec codec,
                                            std::shared_ptr<CallerChannel> channel)
 {
@@ -529,6 +540,9 @@
                     m_scheduler.noteStreamStarted(handle);
                 });
             }
+            if (storesOutput && progress.dispatch.route->resumable) {
+                co_await noteOutput(progress.dispatch.handle, *event);
+            }
             if (!co_await sendEvent(progress, head, event->text)) {
                 co_return AttemptResult::CallerGone;
             }
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -3,6 +3,7 @@
 #include "backends/replica_connection.h"
 #include "control/call_scheduler.h"
 #include "core/metrics.h"
+#include "net/event_stream_parser.h"
 #include "net/http_types.h"
 #include "net/receive_budget.h"
 
@@ -144,6 +145,8 @@
     boost::asio::awaitable<CallDecision> retryOnOtherReplica(CallHandle handle,
                                                              const ReplicaObservation &observation);
     boost::asio::awaitable<bool> close(CallHandle handle, const CallCompletion &end);
+    /** Makes other VMs know an event before the caller gets it. */
+    boost::asio::awaitable<void> noteOutput(CallHandle handle, const StreamEvent &event);
     boost::asio::awaitable<std::shared_ptr<ReplicaConnection>>
     connect(const CallDispatch &dispatch);
     /** Runs the attempt, and finds out whether the replica ended under it. */
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -64,6 +64,7 @@
     case CallRefusalReason::UnknownTurn:
     case CallRefusalReason::StreamVersionUnknown:
     case CallRefusalReason::StreamVersionGone:
+    case CallRefusalReason::StreamOutputUnknown:
     case CallRefusalReason::UnknownKey:
     case CallRefusalReason::OverQuota:
     case CallRefusalReason::Overloaded:
@@ -99,6 +100,8 @@
         return "version-unknown";
     case CallRefusalReason::StreamVersionGone:
         return "version-gone";
+    case CallRefusalReason::StreamOutputUnknown:
+        return "output-unknown";
     case CallRefusalReason::Quarantined:
         return "quarantined";
     case CallRefusalReason::UnknownKey:
@@ -192,50 +195,6 @@
     findOriginOrPrepare(handle);
 }
 
-void CallScheduler::findOriginOrPrepare(CallHandle handle)
-{
-    const Call &call = m_calls[handle];
-    if (call.route->kind == RequestKind::Stream && call.incoming.resumption.has_value()) {
-        findStreamOrigin(handle);
-        return;
-    }
-    prepare(handle);
-}
-
-void CallScheduler::findStreamOrigin(CallHandle handle)
-{
-    const Call &call = m_calls[handle];
-    const AttemptId &firstAttempt = call.incoming.resumption->firstAttempt;
-    if (!firstAttempt.value().empty()) {
-        m_dependencies.streams.find(
-            firstAttempt, call.service,
-            [this, handle](const OriginLookup &lookup) { setStreamOrigin(handle, lookup); });
-        return;
-    }
-    // The caller doesn't say where the stream began, so nobody can be asked.
-    OriginLookup lookup;
-    const std::optional<SoftwareVersion> version =
-        m_dependencies.replicas.presentVersion(call.service);
-    if (version.has_value()) {
-        lookup = {StreamOrigin{call.service, *version, ReplicaId()}, OriginSource::OnlyVersion};
-    }
-    setStreamOrigin(handle, lookup);
-}
-
-void CallScheduler::setStreamOrigin(CallHandle handle, const OriginLookup &lookup)
-{
-    Call &call = m_calls[handle];
-    call.streamOrigin = lookup.origin;
-    call.originSource = lookup.source;
-    const bool usable = lookup.origin.has_value() && lookup.origin->service == call.service
-        && m_dependencies.streams.isCertain(*lookup.origin);
-    if (!usable) {
-        refuse(handle, CallRefusalReason::StreamVersionUnknown);
-        return;
-    }
-    prepare(handle);
-}
-
 void CallScheduler::prepare(CallHandle handle)
 {
     const Call &call = m_calls[handle];
@@ -573,21 +532,6 @@
     dispatch(handle);
 }
 
-void CallScheduler::noteStreamStarted(CallHandle handle)
-{
-    const auto found = m_calls.find(handle);
-    if (found == m_calls.end() || found->second.streamOrigin.has_value()) {
-        return;
-    }
-    Call &call = found->second;
-    const AttemptedReplica &replica = call.attemptedReplicas.back();
-    call.streamOrigin = StreamOrigin{call.service, replica.entry.softwareVersion, replica.entry.id};
-    call.originSource = OriginSource::Recorded;
-    if (call.route->resumable) {
-        m_dependencies.streams.note(call.incoming.attempt, *call.streamOrigin);
-    }
-}
-
 void CallScheduler::noteReplicaLeaving(const ReplicaEntry &replica, const AttemptId &attempt)
 {
     if (!m_dependencies.replicas.markLeaving(incarnationOf(replica))) {
@@ -671,6 +615,7 @@
 {
     std::string text = call.history == nullptr ? std::string() : *call.history->text;
     text += call.incoming.input == nullptr ? std::string() : *call.incoming.input;
+    text += call.earlier.text;
     text += completion.output;
     const auto answered = std::make_shared<bool>(false);
     const auto answerOnce = [answered, done = std::move(done)](bool recorded) {
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -10,6 +10,7 @@
 #include "control/replica_limits.h"
 #include "control/replica_table.h"
 #include "control/request_quarantine.h"
+#include "control/resumption/stream_outputs.h"
 #include "control/route_table.h"
 #include "control/send_permits.h"
 #include "control/store_health.h"
@@ -91,6 +92,8 @@
     StreamVersionUnknown,
     /** No replica of the version that began the stream is left. */
     StreamVersionGone,
+    /** The turn would be stored, and nobody knows what its caller got before. */
+    StreamOutputUnknown,
     /** Replica after replica has ended under requests for the same. */
     Quarantined,
     /** The call has no API key that the configuration knows. */
@@ -176,6 +179,7 @@
         LedgerRelay &ledger;
         TurnArchive &turns;
         StreamOrigins &streams;
+        StreamOutputs &outputs;
         const VmDirectory &vms;
         const StoreHealth &health;
         ReplicaLimits &limits;
@@ -202,6 +206,12 @@
                              std::function<void(const CallDecision &)> done);
     /** The caller gets the first event of a stream now; only the same version may go on with it. */
     void noteStreamStarted(CallHandle handle);
+    /**
+     * The caller is about to get an event of a stream that will be stored. @p text is the event's
+     * data, as it is stored. Other VMs have been sent it when this returns.
+     */
+    void noteStreamOutput(CallHandle handle, const std::string &text,
+                          std::optional<std::int64_t> eventId);
     /** A replica has said in its answer to @p attempt that it leaves. */
     void noteReplicaLeaving(const ReplicaEntry &replica, const AttemptId &attempt);
     /**
@@ -252,6 +262,10 @@
         /** Set once the caller has events of the stream: the software that may go on with it. */
         std::optional<StreamOrigin> streamOrigin;
         OriginSource originSource = OriginSource::Unknown;
+        /** What the caller got of a stream that will be stored, in attempts before this one. */
+        EarlierOutput earlier;
+        /** Bytes of output that the caller has got, earlier ones included. */
+        std::size_t outputBytes = 0;
         bool budgetReserved = false;
         /** The replica that probably has the prompt's prefix cached; empty if not known. */
         ReplicaId promptReplica;
@@ -295,6 +309,8 @@
     /** Finds out which software version began the stream that the call continues. */
     void findStreamOrigin(CallHandle handle);
     void setStreamOrigin(CallHandle handle, const OriginLookup &lookup);
+    /** Finds out what the caller has got of a stream that will be stored. */
+    void findEarlierOutput(CallHandle handle);
     /** Loads what the call needs before it can be dispatched. */
     void prepare(CallHandle handle);
     void loadHistory(CallHandle handle);
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -79,6 +79,7 @@
     case CallRefusalReason::ReplicasLimited:
     case CallRefusalReason::StreamVersionUnknown:
     case CallRefusalReason::StreamVersionGone:
+    case CallRefusalReason::StreamOutputUnknown:
         line.add("service", call.service.value())
             .add("replicas_known",
                  static_cast<std::int64_t>(m_dependencies.replicas.usable(call.service).size()))
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -152,6 +152,10 @@
                 [this](const Endpoint &to, const peers::StreamOriginNote &note) {
                     sendStreamOrigin(to, note);
                 })
+    , m_outputs(m_timers, m_vms, maxConversationBytes(m_settings),
+                [this](const Endpoint &to, const peers::StreamOutputNote &note) {
+                    sendStreamOutput(to, note);
+                })
     , m_limits(m_clock)
     , m_permits(
           m_clock, m_timers, m_limits, m_vms,
@@ -168,8 +172,9 @@
           m_clock, m_timers, m_vms,
           [this](const Endpoint &to, const peers::QuotaNote &note) { sendQuotaNote(to, note); },
           seed)
-    , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_streams, m_vms,
-                   m_health, m_limits, m_permits, m_quarantine, m_lease, m_quotas, m_settings.zone})
+    , m_scheduler({m_clock, m_timers, m_replicas, m_ledgerRelay, m_turns, m_streams, m_outputs,
+                   m_vms, m_health, m_limits, m_permits, m_quarantine, m_lease, m_quotas,
+                   m_settings.zone})
     , m_sweeper(
           m_clock, m_timers, m_store, m_vms,
           [this] { return maxTurnRetention(m_scheduler.routes()); }, seed)
@@ -395,6 +400,13 @@
     sendToPeer(to, envelope);
 }
 
+void PlatformDaemon::sendStreamOutput(const Endpoint &to, const peers::StreamOutputNote &note)
+{
+    peers::Envelope envelope;
+    envelope.__set_streamOutput(note);
+    sendToPeer(to, envelope);
+}
+
 void PlatformDaemon::sendPermitNote(const Endpoint &to, const peers::SendPermitNote &note)
 {
     peers::Envelope envelope;
@@ -433,6 +445,9 @@
     if (envelope.__isset.streamOrigin && sender.ok()) {
         m_streams.receive(*sender, envelope.streamOrigin);
     }
+    if (envelope.__isset.streamOutput && sender.ok()) {
+        m_outputs.receive(*sender, envelope.streamOutput);
+    }
     if (envelope.__isset.replicaLimits) {
         m_limits.receive(envelope.replicaLimits);
     }
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -77,6 +77,7 @@
     void loadRegistryCopy(const peers::RegistryCopy &copy);
     void sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note);
     void sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note);
+    void sendStreamOutput(const Endpoint &to, const peers::StreamOutputNote &note);
     void sendPermitNote(const Endpoint &to, const peers::SendPermitNote &note);
     void sendQuotaNote(const Endpoint &to, const peers::QuotaNote &note);
     void sendCrashNews(const Endpoint &to, const std::vector<peers::RequestCrashNews> &news);
@@ -114,6 +115,7 @@
     BudgetGrants m_grants;
     LedgerRelay m_ledgerRelay;
     StreamOrigins m_streams;
+    StreamOutputs m_outputs;
     ReplicaLimits m_limits;
     SendPermits m_permits;
     RequestQuarantine m_quarantine;
--- a/operators/request_explanation.cpp
+++ b/operators/request_explanation.cpp
@@ -48,6 +48,8 @@
     {"version-unknown",
      "nobody knew which software version had begun the stream that the request continues"},
     {"version-gone", "no replica of the software version that began the stream is left"},
+    {"output-unknown",
+     "no VM that can be reached knows what the caller got before, and the turn would be stored"},
     {"out-of-time", "the request's deadline passed before a replica was chosen"},
     {"bad-call", "the request could not be parsed as a call"},
     {"caller-gone", "the caller closed its connection before the answer was complete"},
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -172,6 +172,37 @@
   }
 }
 
+int _kStreamOutputNoteKindValues[] = {
+  StreamOutputNoteKind::ANNOUNCEMENT,
+  StreamOutputNoteKind::QUESTION,
+  StreamOutputNoteKind::ANSWER
+};
+const char* _kStreamOutputNoteKindNames[] = {
+  "ANNOUNCEMENT",
+  "QUESTION",
+  "ANSWER"
+};
+const std::map<int, const char*> _StreamOutputNoteKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kStreamOutputNoteKindValues, _kStreamOutputNoteKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const StreamOutputNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _StreamOutputNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _StreamOutputNoteKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const StreamOutputNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _StreamOutputNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _StreamOutputNoteKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kSendPermitNoteKindValues[] = {
   SendPermitNoteKind::QUESTION,
   SendPermitNoteKind::ANSWER
@@ -2699,6 +2730,282 @@
 }
 
 
+StreamOutputNote::~StreamOutputNote() noexcept {
+}
+
+
+void StreamOutputNote::__set_kind(const StreamOutputNoteKind::type val) {
+  this->kind = val;
+}
+
+void StreamOutputNote::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void StreamOutputNote::__set_firstAttempt(const std::string& val) {
+  this->firstAttempt = val;
+}
+
+void StreamOutputNote::__set_attempt(const std::string& val) {
+  this->attempt = val;
+}
+
+void StreamOutputNote::__set_resumptions(const int32_t val) {
+  this->resumptions = val;
+}
+
+void StreamOutputNote::__set_attemptBegin(const int64_t val) {
+  this->attemptBegin = val;
+}
+
+void StreamOutputNote::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void StreamOutputNote::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+
+void StreamOutputNote::__set_eventId(const int64_t val) {
+  this->eventId = val;
+__isset.eventId = true;
+}
+
+void StreamOutputNote::__set_isKnown(const bool val) {
+  this->isKnown = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOutputNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOutputNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast57;
+          xfer += iprot->readI32(ecast57);
+          this->kind = static_cast<StreamOutputNoteKind::type>(ecast57);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->firstAttempt);
+          this->__isset.firstAttempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->resumptions);
+          this->__isset.resumptions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attemptBegin);
+          this->__isset.attemptBegin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->eventId);
+          this->__isset.eventId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isKnown);
+          this->__isset.isKnown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOutputNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOutputNote");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("firstAttempt", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->firstAttempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("resumptions", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->resumptions);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attemptBegin", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->attemptBegin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.eventId) {
+    xfer += oprot->writeFieldBegin("eventId", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->eventId);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("isKnown", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->isKnown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOutputNote &a, StreamOutputNote &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.id, b.id);
+  swap(a.firstAttempt, b.firstAttempt);
+  swap(a.attempt, b.attempt);
+  swap(a.resumptions, b.resumptions);
+  swap(a.attemptBegin, b.attemptBegin);
+  swap(a.offset, b.offset);
+  swap(a.bytes, b.bytes);
+  swap(a.eventId, b.eventId);
+  swap(a.isKnown, b.isKnown);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOutputNote::StreamOutputNote(const StreamOutputNote& other58) {
+  kind = other58.kind;
+  id = other58.id;
+  firstAttempt = other58.firstAttempt;
+  attempt = other58.attempt;
+  resumptions = other58.resumptions;
+  attemptBegin = other58.attemptBegin;
+  offset = other58.offset;
+  bytes = other58.bytes;
+  eventId = other58.eventId;
+  isKnown = other58.isKnown;
+  __isset = other58.__isset;
+}
+StreamOutputNote& StreamOutputNote::operator=(const StreamOutputNote& other59) {
+  kind = other59.kind;
+  id = other59.id;
+  firstAttempt = other59.firstAttempt;
+  attempt = other59.attempt;
+  resumptions = other59.resumptions;
+  attemptBegin = other59.attemptBegin;
+  offset = other59.offset;
+  bytes = other59.bytes;
+  eventId = other59.eventId;
+  isKnown = other59.isKnown;
+  __isset = other59.__isset;
+  return *this;
+}
+void StreamOutputNote::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOutputNote(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "firstAttempt=" << to_string(firstAttempt);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "resumptions=" << to_string(resumptions);
+  out << ", " << "attemptBegin=" << to_string(attemptBegin);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "eventId="; (__isset.eventId ? (out << to_string(eventId)) : (out << "<null>"));
+  out << ", " << "isKnown=" << to_string(isKnown);
+  out << ")";
+}
+
+
 ReplicaLimitNews::~ReplicaLimitNews() noexcept {
 }
 
@@ -2808,17 +3115,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaLimitNews::ReplicaLimitNews(const ReplicaLimitNews& other57) noexcept {
-  replica = other57.replica;
-  milliRequestsPerSecond = other57.milliRequestsPerSecond;
-  ageMillis = other57.ageMillis;
-  __isset = other57.__isset;
+ReplicaLimitNews::ReplicaLimitNews(const ReplicaLimitNews& other60) noexcept {
+  replica = other60.replica;
+  milliRequestsPerSecond = other60.milliRequestsPerSecond;
+  ageMillis = other60.ageMillis;
+  __isset = other60.__isset;
 }
-ReplicaLimitNews& ReplicaLimitNews::operator=(const ReplicaLimitNews& other58) noexcept {
-  replica = other58.replica;
-  milliRequestsPerSecond = other58.milliRequestsPerSecond;
-  ageMillis = other58.ageMillis;
-  __isset = other58.__isset;
+ReplicaLimitNews& ReplicaLimitNews::operator=(const ReplicaLimitNews& other61) noexcept {
+  replica = other61.replica;
+  milliRequestsPerSecond = other61.milliRequestsPerSecond;
+  ageMillis = other61.ageMillis;
+  __isset = other61.__isset;
   return *this;
 }
 void ReplicaLimitNews::printTo(std::ostream& out) const {
@@ -2884,9 +3191,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast59;
-          xfer += iprot->readI32(ecast59);
-          this->kind = static_cast<SendPermitNoteKind::type>(ecast59);
+          int32_t ecast62;
+          xfer += iprot->readI32(ecast62);
+          this->kind = static_cast<SendPermitNoteKind::type>(ecast62);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2976,21 +3283,21 @@
   swap(a.__isset, b.__isset);
 }
 
-SendPermitNote::SendPermitNote(const SendPermitNote& other60) noexcept {
-  kind = other60.kind;
-  id = other60.id;
-  limit = other60.limit;
-  granted = other60.granted;
-  delayMillis = other60.delayMillis;
-  __isset = other60.__isset;
+SendPermitNote::SendPermitNote(const SendPermitNote& other63) noexcept {
+  kind = other63.kind;
+  id = other63.id;
+  limit = other63.limit;
+  granted = other63.granted;
+  delayMillis = other63.delayMillis;
+  __isset = other63.__isset;
 }
-SendPermitNote& SendPermitNote::operator=(const SendPermitNote& other61) noexcept {
-  kind = other61.kind;
-  id = other61.id;
-  limit = other61.limit;
-  granted = other61.granted;
-  delayMillis = other61.delayMillis;
-  __isset = other61.__isset;
+SendPermitNote& SendPermitNote::operator=(const SendPermitNote& other64) noexcept {
+  kind = other64.kind;
+  id = other64.id;
+  limit = other64.limit;
+  granted = other64.granted;
+  delayMillis = other64.delayMillis;
+  __isset = other64.__isset;
   return *this;
 }
 void SendPermitNote::printTo(std::ostream& out) const {
@@ -3131,19 +3438,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestCrash::RequestCrash(const RequestCrash& other62) noexcept {
-  replica = other62.replica;
-  ageMillis = other62.ageMillis;
-  atBeginning = other62.atBeginning;
-  sentAgeMillis = other62.sentAgeMillis;
-  __isset = other62.__isset;
+RequestCrash::RequestCrash(const RequestCrash& other65) noexcept {
+  replica = other65.replica;
+  ageMillis = other65.ageMillis;
+  atBeginning = other65.atBeginning;
+  sentAgeMillis = other65.sentAgeMillis;
+  __isset = other65.__isset;
 }
-RequestCrash& RequestCrash::operator=(const RequestCrash& other63) noexcept {
-  replica = other63.replica;
-  ageMillis = other63.ageMillis;
-  atBeginning = other63.atBeginning;
-  sentAgeMillis = other63.sentAgeMillis;
-  __isset = other63.__isset;
+RequestCrash& RequestCrash::operator=(const RequestCrash& other66) noexcept {
+  replica = other66.replica;
+  ageMillis = other66.ageMillis;
+  atBeginning = other66.atBeginning;
+  sentAgeMillis = other66.sentAgeMillis;
+  __isset = other66.__isset;
   return *this;
 }
 void RequestCrash::printTo(std::ostream& out) const {
@@ -3225,14 +3532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->crashes.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->crashes.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->crashes[_i68].read(iprot);
+              xfer += this->crashes[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3277,10 +3584,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<RequestCrash> ::const_iterator _iter69;
-    for (_iter69 = this->crashes.begin(); _iter69 != this->crashes.end(); ++_iter69)
+    std::vector<RequestCrash> ::const_iterator _iter72;
+    for (_iter72 = this->crashes.begin(); _iter72 != this->crashes.end(); ++_iter72)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3305,19 +3612,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestCrashNews::RequestCrashNews(const RequestCrashNews& other70) {
-  high = other70.high;
-  low = other70.low;
-  crashes = other70.crashes;
-  answeredAgeMillis = other70.answeredAgeMillis;
-  __isset = other70.__isset;
+RequestCrashNews::RequestCrashNews(const RequestCrashNews& other73) {
+  high = other73.high;
+  low = other73.low;
+  crashes = other73.crashes;
+  answeredAgeMillis = other73.answeredAgeMillis;
+  __isset = other73.__isset;
 }
-RequestCrashNews& RequestCrashNews::operator=(const RequestCrashNews& other71) {
-  high = other71.high;
-  low = other71.low;
-  crashes = other71.crashes;
-  answeredAgeMillis = other71.answeredAgeMillis;
-  __isset = other71.__isset;
+RequestCrashNews& RequestCrashNews::operator=(const RequestCrashNews& other74) {
+  high = other74.high;
+  low = other74.low;
+  crashes = other74.crashes;
+  answeredAgeMillis = other74.answeredAgeMillis;
+  __isset = other74.__isset;
   return *this;
 }
 void RequestCrashNews::printTo(std::ostream& out) const {
@@ -3440,9 +3747,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast72;
-          xfer += iprot->readI32(ecast72);
-          this->kind = static_cast<QuotaNoteKind::type>(ecast72);
+          int32_t ecast75;
+          xfer += iprot->readI32(ecast75);
+          this->kind = static_cast<QuotaNoteKind::type>(ecast75);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3572,14 +3879,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->programs.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->programs.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->programs.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readI64(this->programs[_i77]);
+              xfer += iprot->readI64(this->programs[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3683,10 +3990,10 @@
     xfer += oprot->writeFieldBegin("programs", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->programs.size()));
-      std::vector<int64_t> ::const_iterator _iter78;
-      for (_iter78 = this->programs.begin(); _iter78 != this->programs.end(); ++_iter78)
+      std::vector<int64_t> ::const_iterator _iter81;
+      for (_iter81 = this->programs.begin(); _iter81 != this->programs.end(); ++_iter81)
       {
-        xfer += oprot->writeI64((*_iter78));
+        xfer += oprot->writeI64((*_iter81));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3725,47 +4032,47 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaNote::QuotaNote(const QuotaNote& other79) {
-  kind = other79.kind;
-  id = other79.id;
-  organisation = other79.organisation;
-  shard = other79.shard;
-  shards = other79.shards;
-  program = other79.program;
-  milliRate = other79.milliRate;
-  milliBurst = other79.milliBurst;
-  mayBegin = other79.mayBegin;
-  granted = other79.granted;
-  delayMillis = other79.delayMillis;
-  coordinator = other79.coordinator;
-  milliLevel = other79.milliLevel;
-  milliMean = other79.milliMean;
-  milliStarts = other79.milliStarts;
-  milliShare = other79.milliShare;
-  programs = other79.programs;
-  resharded = other79.resharded;
-  __isset = other79.__isset;
-}
-QuotaNote& QuotaNote::operator=(const QuotaNote& other80) {
-  kind = other80.kind;
-  id = other80.id;
-  organisation = other80.organisation;
-  shard = other80.shard;
-  shards = other80.shards;
-  program = other80.program;
-  milliRate = other80.milliRate;
-  milliBurst = other80.milliBurst;
-  mayBegin = other80.mayBegin;
-  granted = other80.granted;
-  delayMillis = other80.delayMillis;
-  coordinator = other80.coordinator;
-  milliLevel = other80.milliLevel;
-  milliMean = other80.milliMean;
-  milliStarts = other80.milliStarts;
-  milliShare = other80.milliShare;
-  programs = other80.programs;
-  resharded = other80.resharded;
-  __isset = other80.__isset;
+QuotaNote::QuotaNote(const QuotaNote& other82) {
+  kind = other82.kind;
+  id = other82.id;
+  organisation = other82.organisation;
+  shard = other82.shard;
+  shards = other82.shards;
+  program = other82.program;
+  milliRate = other82.milliRate;
+  milliBurst = other82.milliBurst;
+  mayBegin = other82.mayBegin;
+  granted = other82.granted;
+  delayMillis = other82.delayMillis;
+  coordinator = other82.coordinator;
+  milliLevel = other82.milliLevel;
+  milliMean = other82.milliMean;
+  milliStarts = other82.milliStarts;
+  milliShare = other82.milliShare;
+  programs = other82.programs;
+  resharded = other82.resharded;
+  __isset = other82.__isset;
+}
+QuotaNote& QuotaNote::operator=(const QuotaNote& other83) {
+  kind = other83.kind;
+  id = other83.id;
+  organisation = other83.organisation;
+  shard = other83.shard;
+  shards = other83.shards;
+  program = other83.program;
+  milliRate = other83.milliRate;
+  milliBurst = other83.milliBurst;
+  mayBegin = other83.mayBegin;
+  granted = other83.granted;
+  delayMillis = other83.delayMillis;
+  coordinator = other83.coordinator;
+  milliLevel = other83.milliLevel;
+  milliMean = other83.milliMean;
+  milliStarts = other83.milliStarts;
+  milliShare = other83.milliShare;
+  programs = other83.programs;
+  resharded = other83.resharded;
+  __isset = other83.__isset;
   return *this;
 }
 void QuotaNote::printTo(std::ostream& out) const {
@@ -3904,6 +4211,11 @@
   this->registryAskedAtMillis = val;
 __isset.registryAskedAtMillis = true;
 }
+
+void Envelope::__set_streamOutput(const StreamOutputNote& val) {
+  this->streamOutput = val;
+__isset.streamOutput = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -3960,14 +4272,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->permitRequests.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->permitRequests.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->permitRequests[_i85].read(iprot);
+              xfer += this->permitRequests[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3980,14 +4292,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitAnswers.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->permitAnswers.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->permitAnswers.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->permitAnswers[_i90].read(iprot);
+              xfer += this->permitAnswers[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4000,14 +4312,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReleases.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->permitReleases.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->permitReleases.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->permitReleases[_i95].read(iprot);
+              xfer += this->permitReleases[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4020,14 +4332,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitsReleased.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->permitsReleased.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->permitsReleased.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->permitsReleased[_i100].read(iprot);
+              xfer += this->permitsReleased[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4048,14 +4360,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmNews.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->vmNews.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->vmNews.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->vmNews[_i105].read(iprot);
+              xfer += this->vmNews[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4108,14 +4420,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmHeartbeats.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->vmHeartbeats.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->vmHeartbeats.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->vmHeartbeats[_i110].read(iprot);
+              xfer += this->vmHeartbeats[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4128,14 +4440,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknownVms.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->unknownVms.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->unknownVms.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += iprot->readI64(this->unknownVms[_i115]);
+              xfer += iprot->readI64(this->unknownVms[_i118]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4164,14 +4476,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicaLimits.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->replicaLimits.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->replicaLimits.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->replicaLimits[_i120].read(iprot);
+              xfer += this->replicaLimits[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4184,14 +4496,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requestCrashes.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->requestCrashes.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->requestCrashes.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->requestCrashes[_i125].read(iprot);
+              xfer += this->requestCrashes[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4216,6 +4528,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->streamOutput.read(iprot);
+          this->__isset.streamOutput = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4250,10 +4570,10 @@
     xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-      std::vector<PermitRequest> ::const_iterator _iter126;
-      for (_iter126 = this->permitRequests.begin(); _iter126 != this->permitRequests.end(); ++_iter126)
+      std::vector<PermitRequest> ::const_iterator _iter129;
+      for (_iter129 = this->permitRequests.begin(); _iter129 != this->permitRequests.end(); ++_iter129)
       {
-        xfer += (*_iter126).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4263,10 +4583,10 @@
     xfer += oprot->writeFieldBegin("permitAnswers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitAnswers.size()));
-      std::vector<PermitAnswer> ::const_iterator _iter127;
-      for (_iter127 = this->permitAnswers.begin(); _iter127 != this->permitAnswers.end(); ++_iter127)
+      std::vector<PermitAnswer> ::const_iterator _iter130;
+      for (_iter130 = this->permitAnswers.begin(); _iter130 != this->permitAnswers.end(); ++_iter130)
       {
-        xfer += (*_iter127).write(oprot);
+        xfer += (*_iter130).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4276,10 +4596,10 @@
     xfer += oprot->writeFieldBegin("permitReleases", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReleases.size()));
-      std::vector<PermitRelease> ::const_iterator _iter128;
-      for (_iter128 = this->permitReleases.begin(); _iter128 != this->permitReleases.end(); ++_iter128)
+      std::vector<PermitRelease> ::const_iterator _iter131;
+      for (_iter131 = this->permitReleases.begin(); _iter131 != this->permitReleases.end(); ++_iter131)
       {
-        xfer += (*_iter128).write(oprot);
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4289,10 +4609,10 @@
     xfer += oprot->writeFieldBegin("permitsReleased", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitsReleased.size()));
-      std::vector<PermitReleased> ::const_iterator _iter129;
-      for (_iter129 = this->permitsReleased.begin(); _iter129 != this->permitsReleased.end(); ++_iter129)
+      std::vector<PermitReleased> ::const_iterator _iter132;
+      for (_iter132 = this->permitsReleased.begin(); _iter132 != this->permitsReleased.end(); ++_iter132)
       {
-        xfer += (*_iter129).write(oprot);
+        xfer += (*_iter132).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4307,10 +4627,10 @@
     xfer += oprot->writeFieldBegin("vmNews", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmNews.size()));
-      std::vector<VmNews> ::const_iterator _iter130;
-      for (_iter130 = this->vmNews.begin(); _iter130 != this->vmNews.end(); ++_iter130)
+      std::vector<VmNews> ::const_iterator _iter133;
+      for (_iter133 = this->vmNews.begin(); _iter133 != this->vmNews.end(); ++_iter133)
       {
-        xfer += (*_iter130).write(oprot);
+        xfer += (*_iter133).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4345,10 +4665,10 @@
     xfer += oprot->writeFieldBegin("vmHeartbeats", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmHeartbeats.size()));
-      std::vector<VmHeartbeat> ::const_iterator _iter131;
-      for (_iter131 = this->vmHeartbeats.begin(); _iter131 != this->vmHeartbeats.end(); ++_iter131)
+      std::vector<VmHeartbeat> ::const_iterator _iter134;
+      for (_iter134 = this->vmHeartbeats.begin(); _iter134 != this->vmHeartbeats.end(); ++_iter134)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter134).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4358,10 +4678,10 @@
     xfer += oprot->writeFieldBegin("unknownVms", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownVms.size()));
-      std::vector<int64_t> ::const_iterator _iter132;
-      for (_iter132 = this->unknownVms.begin(); _iter132 != this->unknownVms.end(); ++_iter132)
+      std::vector<int64_t> ::const_iterator _iter135;
+      for (_iter135 = this->unknownVms.begin(); _iter135 != this->unknownVms.end(); ++_iter135)
       {
-        xfer += oprot->writeI64((*_iter132));
+        xfer += oprot->writeI64((*_iter135));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4381,10 +4701,10 @@
     xfer += oprot->writeFieldBegin("replicaLimits", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicaLimits.size()));
-      std::vector<ReplicaLimitNews> ::const_iterator _iter133;
-      for (_iter133 = this->replicaLimits.begin(); _iter133 != this->replicaLimits.end(); ++_iter133)
+      std::vector<ReplicaLimitNews> ::const_iterator _iter136;
+      for (_iter136 = this->replicaLimits.begin(); _iter136 != this->replicaLimits.end(); ++_iter136)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter136).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4394,10 +4714,10 @@
     xfer += oprot->writeFieldBegin("requestCrashes", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requestCrashes.size()));
-      std::vector<RequestCrashNews> ::const_iterator _iter134;
-      for (_iter134 = this->requestCrashes.begin(); _iter134 != this->requestCrashes.end(); ++_iter134)
+      std::vector<RequestCrashNews> ::const_iterator _iter137;
+      for (_iter137 = this->requestCrashes.begin(); _iter137 != this->requestCrashes.end(); ++_iter137)
       {
-        xfer += (*_iter134).write(oprot);
+        xfer += (*_iter137).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4413,6 +4733,11 @@
     xfer += oprot->writeI64(this->registryAskedAtMillis);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.streamOutput) {
+    xfer += oprot->writeFieldBegin("streamOutput", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->streamOutput.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4442,58 +4767,61 @@
   swap(a.requestCrashes, b.requestCrashes);
   swap(a.quotaNote, b.quotaNote);
   swap(a.registryAskedAtMillis, b.registryAskedAtMillis);
+  swap(a.streamOutput, b.streamOutput);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other135) {
-  vm = other135.vm;
-  fence = other135.fence;
-  probe = other135.probe;
-  permitRequests = other135.permitRequests;
-  permitAnswers = other135.permitAnswers;
-  permitReleases = other135.permitReleases;
-  permitsReleased = other135.permitsReleased;
-  heldPrograms = other135.heldPrograms;
-  vmNews = other135.vmNews;
-  wantsNews = other135.wantsNews;
-  ledgerNote = other135.ledgerNote;
-  replyTo = other135.replyTo;
-  wantsRegistry = other135.wantsRegistry;
-  registryCopy = other135.registryCopy;
-  vmHeartbeats = other135.vmHeartbeats;
-  unknownVms = other135.unknownVms;
-  streamOrigin = other135.streamOrigin;
-  sendPermit = other135.sendPermit;
-  replicaLimits = other135.replicaLimits;
-  requestCrashes = other135.requestCrashes;
-  quotaNote = other135.quotaNote;
-  registryAskedAtMillis = other135.registryAskedAtMillis;
-  __isset = other135.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other136) {
-  vm = other136.vm;
-  fence = other136.fence;
-  probe = other136.probe;
-  permitRequests = other136.permitRequests;
-  permitAnswers = other136.permitAnswers;
-  permitReleases = other136.permitReleases;
-  permitsReleased = other136.permitsReleased;
-  heldPrograms = other136.heldPrograms;
-  vmNews = other136.vmNews;
-  wantsNews = other136.wantsNews;
-  ledgerNote = other136.ledgerNote;
-  replyTo = other136.replyTo;
-  wantsRegistry = other136.wantsRegistry;
-  registryCopy = other136.registryCopy;
-  vmHeartbeats = other136.vmHeartbeats;
-  unknownVms = other136.unknownVms;
-  streamOrigin = other136.streamOrigin;
-  sendPermit = other136.sendPermit;
-  replicaLimits = other136.replicaLimits;
-  requestCrashes = other136.requestCrashes;
-  quotaNote = other136.quotaNote;
-  registryAskedAtMillis = other136.registryAskedAtMillis;
-  __isset = other136.__isset;
+Envelope::Envelope(const Envelope& other138) {
+  vm = other138.vm;
+  fence = other138.fence;
+  probe = other138.probe;
+  permitRequests = other138.permitRequests;
+  permitAnswers = other138.permitAnswers;
+  permitReleases = other138.permitReleases;
+  permitsReleased = other138.permitsReleased;
+  heldPrograms = other138.heldPrograms;
+  vmNews = other138.vmNews;
+  wantsNews = other138.wantsNews;
+  ledgerNote = other138.ledgerNote;
+  replyTo = other138.replyTo;
+  wantsRegistry = other138.wantsRegistry;
+  registryCopy = other138.registryCopy;
+  vmHeartbeats = other138.vmHeartbeats;
+  unknownVms = other138.unknownVms;
+  streamOrigin = other138.streamOrigin;
+  sendPermit = other138.sendPermit;
+  replicaLimits = other138.replicaLimits;
+  requestCrashes = other138.requestCrashes;
+  quotaNote = other138.quotaNote;
+  registryAskedAtMillis = other138.registryAskedAtMillis;
+  streamOutput = other138.streamOutput;
+  __isset = other138.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other139) {
+  vm = other139.vm;
+  fence = other139.fence;
+  probe = other139.probe;
+  permitRequests = other139.permitRequests;
+  permitAnswers = other139.permitAnswers;
+  permitReleases = other139.permitReleases;
+  permitsReleased = other139.permitsReleased;
+  heldPrograms = other139.heldPrograms;
+  vmNews = other139.vmNews;
+  wantsNews = other139.wantsNews;
+  ledgerNote = other139.ledgerNote;
+  replyTo = other139.replyTo;
+  wantsRegistry = other139.wantsRegistry;
+  registryCopy = other139.registryCopy;
+  vmHeartbeats = other139.vmHeartbeats;
+  unknownVms = other139.unknownVms;
+  streamOrigin = other139.streamOrigin;
+  sendPermit = other139.sendPermit;
+  replicaLimits = other139.replicaLimits;
+  requestCrashes = other139.requestCrashes;
+  quotaNote = other139.quotaNote;
+  registryAskedAtMillis = other139.registryAskedAtMillis;
+  streamOutput = other139.streamOutput;
+  __isset = other139.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -4521,6 +4849,7 @@
   out << ", " << "requestCrashes="; (__isset.requestCrashes ? (out << to_string(requestCrashes)) : (out << "<null>"));
   out << ", " << "quotaNote="; (__isset.quotaNote ? (out << to_string(quotaNote)) : (out << "<null>"));
   out << ", " << "registryAskedAtMillis="; (__isset.registryAskedAtMillis ? (out << to_string(registryAskedAtMillis)) : (out << "<null>"));
+  out << ", " << "streamOutput="; (__isset.streamOutput ? (out << to_string(streamOutput)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -93,6 +93,20 @@
 
 std::string to_string(const OriginKnowledge::type& val);
 
+struct StreamOutputNoteKind {
+  enum type {
+    ANNOUNCEMENT = 0,
+    QUESTION = 1,
+    ANSWER = 2
+  };
+};
+
+extern const std::map<int, const char*> _StreamOutputNoteKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const StreamOutputNoteKind::type& val);
+
+std::string to_string(const StreamOutputNoteKind::type& val);
+
 struct SendPermitNoteKind {
   enum type {
     QUESTION = 0,
@@ -148,6 +162,8 @@
 
 class StreamOriginNote;
 
+class StreamOutputNote;
+
 class ReplicaLimitNews;
 
 class SendPermitNote;
@@ -1153,6 +1169,118 @@
 
 std::ostream& operator<<(std::ostream& out, const StreamOriginNote& obj);
 
+typedef struct _StreamOutputNote__isset {
+  _StreamOutputNote__isset() : kind(false), id(false), firstAttempt(false), attempt(false), resumptions(false), attemptBegin(false), offset(false), bytes(false), eventId(false), isKnown(false) {}
+  bool kind :1;
+  bool id :1;
+  bool firstAttempt :1;
+  bool attempt :1;
+  bool resumptions :1;
+  bool attemptBegin :1;
+  bool offset :1;
+  bool bytes :1;
+  bool eventId :1;
+  bool isKnown :1;
+} _StreamOutputNote__isset;
+
+class StreamOutputNote : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOutputNote(const StreamOutputNote&);
+  StreamOutputNote& operator=(const StreamOutputNote&);
+  StreamOutputNote() noexcept
+                   : kind(static_cast<StreamOutputNoteKind::type>(0)),
+                     id(0),
+                     firstAttempt(),
+                     attempt(),
+                     resumptions(0),
+                     attemptBegin(0),
+                     offset(0),
+                     bytes(),
+                     eventId(0),
+                     isKnown(0) {
+  }
+
+  virtual ~StreamOutputNote() noexcept;
+  /**
+   * 
+   * @see StreamOutputNoteKind
+   */
+  StreamOutputNoteKind::type kind;
+  int64_t id;
+  std::string firstAttempt;
+  std::string attempt;
+  int32_t resumptions;
+  int64_t attemptBegin;
+  int64_t offset;
+  std::string bytes;
+  int64_t eventId;
+  bool isKnown;
+
+  _StreamOutputNote__isset __isset;
+
+  void __set_kind(const StreamOutputNoteKind::type val);
+
+  void __set_id(const int64_t val);
+
+  void __set_firstAttempt(const std::string& val);
+
+  void __set_attempt(const std::string& val);
+
+  void __set_resumptions(const int32_t val);
+
+  void __set_attemptBegin(const int64_t val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_bytes(const std::string& val);
+
+  void __set_eventId(const int64_t val);
+
+  void __set_isKnown(const bool val);
+
+  bool operator == (const StreamOutputNote & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(firstAttempt == rhs.firstAttempt))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(resumptions == rhs.resumptions))
+      return false;
+    if (!(attemptBegin == rhs.attemptBegin))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    if (__isset.eventId != rhs.__isset.eventId)
+      return false;
+    else if (__isset.eventId && !(eventId == rhs.eventId))
+      return false;
+    if (!(isKnown == rhs.isKnown))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOutputNote &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOutputNote & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOutputNote &a, StreamOutputNote &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOutputNote& obj);
+
 typedef struct _ReplicaLimitNews__isset {
   _ReplicaLimitNews__isset() : replica(false), milliRequestsPerSecond(false), ageMillis(false) {}
   bool replica :1;
@@ -1587,7 +1715,7 @@
 std::ostream& operator<<(std::ostream& out, const QuotaNote& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false), quotaNote(false), registryAskedAtMillis(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false), quotaNote(false), registryAskedAtMillis(false), streamOutput(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -1610,6 +1738,7 @@
   bool requestCrashes :1;
   bool quotaNote :1;
   bool registryAskedAtMillis :1;
+  bool streamOutput :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1649,6 +1778,7 @@
   std::vector<RequestCrashNews>  requestCrashes;
   QuotaNote quotaNote;
   int64_t registryAskedAtMillis;
+  StreamOutputNote streamOutput;
 
   _Envelope__isset __isset;
 
@@ -1696,6 +1826,8 @@
 
   void __set_registryAskedAtMillis(const int64_t val);
 
+  void __set_streamOutput(const StreamOutputNote& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1782,6 +1914,10 @@
       return false;
     else if (__isset.registryAskedAtMillis && !(registryAskedAtMillis == rhs.registryAskedAtMillis))
       return false;
+    if (__isset.streamOutput != rhs.__isset.streamOutput)
+      return false;
+    else if (__isset.streamOutput && !(streamOutput == rhs.streamOutput))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -202,6 +202,38 @@
     7: OriginKnowledge knowledge;
 }
 
+enum StreamOutputNoteKind {
+    // The caller is about to get these bytes; the receiver remembers them.
+    ANNOUNCEMENT = 0,
+    QUESTION = 1,
+    // One of the answers to a question; each brings a part of the output.
+    ANSWER = 2,
+}
+
+// A part of a stream's output, which a turn's record needs if its caller takes the stream up at
+// another VM.
+struct StreamOutputNote {
+    1: StreamOutputNoteKind kind;
+    // Chosen by the asking VM; the answers carry the same id.
+    2: i64 id;
+    // The caller's attempt that brought the first event of the stream.
+    3: string firstAttempt;
+    // The caller's attempt in which the bytes were sent.
+    4: string attempt;
+    // How often the stream had been taken up before that.
+    5: i32 resumptions;
+    // Length of the output when that attempt began.
+    6: i64 attemptBegin;
+    // Position of the bytes in the output.
+    7: i64 offset;
+    8: binary bytes;
+    // The id of the event that ends with these bytes. In a question: the last event that the
+    // caller has.
+    9: optional i64 eventId;
+    // ANSWER: the sender knows the whole output up to the event that was asked for.
+    10: bool isKnown;
+}
+
 // How many requests a replica takes from all VMs together, as its answers say.
 struct ReplicaLimitNews {
     // Fingerprint of one incarnation of the replica.
@@ -329,4 +361,5 @@
     21: optional QuotaNote quotaNote;
     // With wantsRegistry: the asking VM's own time, which the answer repeats.
     22: optional i64 registryAskedAtMillis;
+    23: optional StreamOutputNote streamOutput;
 }
--- a/tests/control/call_queue_order_test.cpp
+++ b/tests/control/call_queue_order_test.cpp
@@ -131,12 +131,13 @@
         , m_vms(m_clock, {}, 1)
         , m_relay(m_clock, m_timers, m_ledger, m_grants, m_vms, nullptr)
         , m_streams(m_timers, m_replicas, m_vms, nullptr)
+        , m_outputs(m_timers, m_vms, 100'000, nullptr)
         , m_limits(m_clock)
         , m_permits(m_clock, m_timers, m_limits, m_vms, nullptr, 1)
         , m_quarantine(m_clock, m_timers, m_vms, nullptr)
         , m_lease(m_clock)
         , m_quotas(m_clock, m_timers, m_vms, nullptr, 1)
-        , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_vms, m_health,
+        , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_outputs, m_vms, m_health,
                        m_limits, m_permits, m_quarantine, m_lease, m_quotas, ZoneId("z")})
     {
         auto table = std::make_shared<RouteTable>();
@@ -228,6 +229,7 @@
     VmDirectory m_vms;
     LedgerRelay m_relay;
     StreamOrigins m_streams;
+    StreamOutputs m_outputs;
     ReplicaLimits m_limits;
     SendPermits m_permits;
     RequestQuarantine m_quarantine;
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -55,6 +55,7 @@
         , grants(fleet.m_clock, fleet.m_timers, ledger, health, "vm")
         , relay(fleet.m_clock, fleet.m_timers, ledger, grants, directory, nullptr)
         , streams(fleet.m_timers, replicas, directory, nullptr)
+        , outputs(fleet.m_timers, directory, 100'000, nullptr)
         , limits(fleet.m_clock)
         , permits(
               fleet.m_clock, fleet.m_timers, limits, directory,
@@ -65,8 +66,8 @@
         , quarantine(fleet.m_clock, fleet.m_timers, directory, nullptr)
         , lease(fleet.m_clock)
         , quotas(fleet.m_clock, fleet.m_timers, directory, nullptr, index)
-        , scheduler({fleet.m_clock, fleet.m_timers, replicas, relay, turns, streams, directory,
-                     health, limits, permits, quarantine, lease, quotas, ZoneId("z")})
+        , scheduler({fleet.m_clock, fleet.m_timers, replicas, relay, turns, streams, outputs,
+                     directory, health, limits, permits, quarantine, lease, quotas, ZoneId("z")})
     {
         scheduler.setRouteTable(routeTable(fleet.m_setup.hasPrompts));
     }
@@ -79,6 +80,7 @@
     BudgetGrants grants;
     LedgerRelay relay;
     StreamOrigins streams;
+    StreamOutputs outputs;
     ReplicaLimits limits;
     SendPermits permits;
     RequestQuarantine quarantine;
--- a/tests/support/platform_session.cpp
+++ b/tests/support/platform_session.cpp
@@ -36,6 +36,8 @@
     R"("service":"app","maxAttempts":2,"resumable":false,"retainContext":true,"keepS":60},)"
     R"({"name":"read","host":"h","prefix":"/read/","kind":"streaming","timeoutMs":2000,)"
     R"("service":"app","maxAttempts":2,"resumable":true},)"
+    R"({"name":"talk","host":"h","prefix":"/talk/","kind":"streaming","timeoutMs":2000,)"
+    R"("service":"app","maxAttempts":2,"resumable":true,"retainContext":true,"keepS":60},)"
     R"({"name":"open","host":"h","prefix":"/open/","kind":"idempotent","timeoutMs":2000,)"
     R"("service":"app","maxAttempts":2,"public":true}],)"
     R"("services":[{"name":"app","maxConns":200,"engine":{"tokensPerEvent":20}}],)"
@@ -166,13 +168,14 @@
     , m_grants(m_clock, m_timers, m_ledger, m_health, "vm/1")
     , m_relay(m_clock, m_timers, m_ledger, m_grants, m_vms, nullptr)
     , m_streams(m_timers, m_replicas, m_vms, nullptr)
+    , m_outputs(m_timers, m_vms, 1'000'000, nullptr)
     , m_limits(m_clock)
     , m_permits(m_clock, m_timers, m_limits, m_vms, nullptr, 1)
     , m_quarantine(m_clock, m_timers, m_vms, nullptr)
     , m_lease(m_clock)
     , m_quotas(m_clock, m_timers, m_vms, nullptr, 1)
-    , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_vms, m_health,
-                   m_limits, m_permits, m_quarantine, m_lease, m_quotas, ZoneId("z")})
+    , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_outputs, m_vms,
+                   m_health, m_limits, m_permits, m_quarantine, m_lease, m_quotas, ZoneId("z")})
     , m_replicaConnections(m_context.get_executor(), m_clock)
     , m_forwarder(m_context, m_scheduler, m_replicaConnections, m_clock, m_counters, m_received)
     , m_front(m_context, FrontEndpoint, m_forwarder, "secret")
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -119,6 +119,7 @@
     BudgetGrants m_grants;
     LedgerRelay m_relay;
     StreamOrigins m_streams;
+    StreamOutputs m_outputs;
     ReplicaLimits m_limits;
     SendPermits m_permits;
     RequestQuarantine m_quarantine;
