--- a/control/budget_grants.cpp
+++ b/control/budget_grants.cpp
@@ -47,20 +47,48 @@
 {
     Grant &grant = m_grants[request.program];
     grant.lastUsed = m_clock.now();
-    const bool isStuck = grant.exchanging && m_health.unavailable();
+    const bool wasStuck = isStuck(grant);
     grant.waiting.push_back({request, deadline, std::move(done), m_clock.now()});
     processQueue(request.program);
     const auto found = m_grants.find(request.program);
     if (found == m_grants.end() || found->second.waiting.empty()) {
         return;
     }
-    if (isStuck) {
-        refuseLast(found->second);
+    if (wasStuck) {
+        refuseIfStuck(request.program, request.turn);
+    }
+    m_timers.after(LoanDelay, [this, wasStuck, program = request.program, turn = request.turn] {
+        processQueue(program);
+        if (wasStuck) {
+            refuseIfStuck(program, turn);
+        }
+    });
+    m_timers.after(deadline - m_clock.now(),
+                   [this, program = request.program] { processQueue(program); });
+}
+
+bool BudgetGrants::isStuck(const Grant &grant) const
+{
+    const bool isLoanPending = m_lenders != nullptr && m_lenders->isLoanPending();
+    return grant.exchanging && m_health.unavailable() && !isLoanPending;
+}
+
+void BudgetGrants::refuseIfStuck(const ProgramId &program, const AttemptId &turn)
+{
+    const auto found = m_grants.find(program);
+    if (found == m_grants.end() || !isStuck(found->second)) {
+        return;
+    }
+    std::deque<WaitingRequest> &waiting = found->second.waiting;
+    const auto item = std::find_if(waiting.begin(), waiting.end(), [&](const auto &candidate) {
+        return candidate.request.turn == turn;
+    });
+    if (item == waiting.end()) {
         return;
     }
-    const auto check = [this, program = request.program] { processQueue(program); };
-    m_timers.after(LoanDelay, check);
-    m_timers.after(deadline - m_clock.now(), check);
+    const WaitingRequest refused = std::move(*item);
+    waiting.erase(item);
+    refused.done(ReservationResult::StoreUnavailable);
 }
 
 void BudgetGrants::settle(const TurnSettlement &settlement)
@@ -123,9 +151,10 @@
         const ReservationRequest &request = grant.waiting.front().request;
         const bool covered = !grant.exchanging && !grant.id.value().empty()
             && grant.size - grant.spent - grant.uncertainTokens() >= request.maxTokens;
-        if (covered || lend(program, grant)) {
+        const LoanPermission loan = covered ? LoanPermission::Denied : lend(program, grant);
+        if (covered || loan == LoanPermission::Granted) {
             serveFirst(grant);
-        } else if (!grant.exchanging) {
+        } else if (loan == LoanPermission::Denied && !grant.exchanging) {
             exchange(program, grant);
         } else {
             break;
@@ -144,22 +173,24 @@
     served.done(ReservationResult::Granted);
 }
 
-bool BudgetGrants::lend(const ProgramId &program, Grant &grant)
+LoanPermission BudgetGrants::lend(const ProgramId &program, Grant &grant)
 {
     const WaitingRequest &first = grant.waiting.front();
     const ReservationRequest &request = first.request;
     const bool isStoreSlow = grant.exchanging && m_clock.now() >= first.queuedAt + LoanDelay;
     if (m_lenders == nullptr || !request.mayBorrow || !(isStoreSlow || m_health.unavailable())) {
-        return false;
-    }
-    if (!m_lenders->mayLend(program, {m_ledger.rowSeenAt(program), m_ledger.lastForgottenUse()})) {
-        return false;
+        return LoanPermission::Denied;
     }
     const std::int64_t used =
         m_ledger.committedBesides(program, grant.id) + grant.spent + grant.uncertainTokens();
     const std::int64_t lendable = splitBudget(request.budget, request.maxTokens).lendable;
     if (used + request.maxTokens > lendable) {
-        return false;
+        return LoanPermission::Denied;
+    }
+    const LoanPermission permission =
+        m_lenders->askToLend(program, {m_ledger.rowSeenAt(program), m_ledger.lastForgottenUse()});
+    if (permission != LoanPermission::Granted) {
+        return permission;
     }
     if (grant.id.value().empty()) {
         grant.id = loanId(absl::StrCat(m_holder, "/", m_nextGrantNumber++));
@@ -175,7 +206,20 @@
         .add("store_silent_ms", toMillis(m_health.timeSinceAnswer()))
         .add("outcome", "lent")
         .info();
-    return true;
+    return LoanPermission::Granted;
+}
+
+void BudgetGrants::onLendingGranted()
+{
+    std::vector<ProgramId> waiting;
+    for (const auto &[program, grant] : m_grants) {
+        if (!grant.waiting.empty()) {
+            waiting.push_back(program);
+        }
+    }
+    for (const ProgramId &program : waiting) {
+        processQueue(program);
+    }
 }
 
 std::optional<std::vector<ProgramId>> BudgetGrants::programsUsedSince(BootTime time) const
@@ -245,13 +289,6 @@
     refused.done(result);
 }
 
-void BudgetGrants::refuseLast(Grant &grant)
-{
-    const WaitingRequest refused = std::move(grant.waiting.back());
-    grant.waiting.pop_back();
-    refused.done(ReservationResult::StoreUnavailable);
-}
-
 void BudgetGrants::scheduleClose(const ProgramId &program, Grant &grant)
 {
     if (grant.closeScheduled) {
--- a/control/budget_grants.h
+++ b/control/budget_grants.h
@@ -53,7 +53,9 @@
      */
     void settle(const TurnSettlement &settlement);
     /** From now on turns may use loans as far as this VM is a lender. */
-    void setLenders(const BudgetLenders &lenders) { m_lenders = &lenders; }
+    void setLenders(BudgetLenders &lenders) { m_lenders = &lenders; }
+    /** This VM may lend now, so that turns that wait for that can go on. */
+    void onLendingGranted();
     /**
      * The programs that this VM has reserved tokens for since @p time; none if it may have
      * forgotten some.
@@ -111,12 +113,15 @@
     void processQueue(const ProgramId &program);
     void serveFirst(Grant &grant);
     /** Lets the first waiting turn run without the store if this VM may lend to the program. */
-    bool lend(const ProgramId &program, Grant &grant);
+    LoanPermission lend(const ProgramId &program, Grant &grant);
     void exchange(const ProgramId &program, Grant &grant);
     void onExchanged(const ProgramId &program, const AttemptId &id, std::int64_t spentBefore,
                      ReservationResult result);
     void refuseFirst(Grant &grant, ReservationResult result);
-    void refuseLast(Grant &grant);
+    /** True if turns that wait can have neither the store's answer soon nor a loan. */
+    bool isStuck(const Grant &grant) const;
+    /** Refuses a turn that still waits, if that is in vain. */
+    void refuseIfStuck(const ProgramId &program, const AttemptId &turn);
     void expireOverdue(Grant &grant);
     void scheduleClose(const ProgramId &program, Grant &grant);
     void closeIfIdle(const ProgramId &program);
@@ -129,7 +134,7 @@
     ProgramLedger &m_ledger;
     const StoreHealth &m_health;
     std::string m_holder;
-    const BudgetLenders *m_lenders = nullptr;
+    BudgetLenders *m_lenders = nullptr;
     std::uint64_t m_nextGrantNumber = 1;
     std::map<ProgramId, Grant> m_grants;
     std::uint64_t m_reservedLocally = 0;
--- a/control/outage/budget_lenders.cpp
+++ b/control/outage/budget_lenders.cpp
@@ -29,6 +29,9 @@
 constexpr Milliseconds LostTenureDelay = TenureTerm + ProgramLifetime + ClockMargin;
 /** After a lender released a partition, the programs that its successor has not met have ended. */
 constexpr Milliseconds ReleasedTenureDelay = ProgramIdleTime + ClockMargin;
+/** After a lender was lost that has lent nothing: it reserves whole budgets until its term ends,
+ * and the programs that its successor has not met by then have ended a while later. */
+constexpr Milliseconds EndedTenureDelay = TenureTerm + ProgramIdleTime + ClockMargin;
 /** A lender that can't be heard for a shorter time is likely to be cut off or paused. */
 constexpr Milliseconds LostLenderTime{8'000};
 /** VMs that start together know each other after this time. */
@@ -39,6 +42,10 @@
 constexpr Milliseconds ReleaseLifetime{120'000};
 /** Some 20 B each; more than a VM remembers, and less than a row may hold. */
 constexpr std::size_t MaxReleasedPrograms = 2'500;
+/** A VM that is alive answers a question within this time, also if one datagram is lost. */
+constexpr Milliseconds InquiryTime{1'200};
+/** Each takes up to three entries of a transaction, which has 100 at most. */
+constexpr std::size_t MaxReplacedAtOnce = 30;
 constexpr Milliseconds MinRetryDelay{300};
 constexpr Milliseconds MaxRetryDelay{900};
 
@@ -55,7 +62,8 @@
 } // namespace
 
 BudgetLenders::BudgetLenders(const Clock &clock, Timers &timers, RowStore &store,
-                             const VmDirectory &vms, bool isFirstStart, std::uint64_t seed)
+                             const VmDirectory &vms, bool isFirstStart, LendingRights::Send send,
+                             Loans loans, std::uint64_t seed)
     : m_clock(clock)
     , m_timers(timers)
     , m_store(store)
@@ -63,6 +71,10 @@
     , m_self(incarnationName(vms.self()))
     , m_isFirstStart(isFirstStart)
     , m_random(seed)
+    , m_witness(clock)
+    , m_rights(clock, timers, store, vms, send, loans.onGranted, seed)
+    , m_send(std::move(send))
+    , m_loans(std::move(loans))
     , m_startedAt(clock.now())
 { }
 
@@ -181,8 +193,7 @@
     for (const LenderTenure &tenure : m_table) {
         number = std::max(number, tenure.number);
     }
-    setTable(
-        LenderTable(LenderPartitions, LenderTenure{"unknown", PreviousTenure::Lost, "", number}));
+    setTable(LenderTable(LenderPartitions, LenderTenure{"", PreviousTenure::Lost, "", number}));
 }
 
 void BudgetLenders::setTable(LenderTable table)
@@ -226,10 +237,18 @@
         return ReleasedTenureDelay;
     case PreviousTenure::Lost:
         return LostTenureDelay;
+    case PreviousTenure::NothingLent:
+        return EndedTenureDelay;
     }
     return Duration(0);
 }
 
+BootTime BudgetLenders::exclusiveFrom(const OwnTenure &tenure)
+{
+    const bool mayGoOn = tenure.previous == PreviousTenure::NothingLent;
+    return tenure.since + (mayGoOn ? TenureTerm + ClockMargin : Milliseconds(0));
+}
+
 bool BudgetLenders::isSettled(const OwnTenure &tenure) const
 {
     return m_clock.bootNow() >= tenure.since + delayAfter(tenure.previous);
@@ -252,7 +271,7 @@
     if (tenure == nullptr || !isComplete(*tenure)) {
         return false;
     }
-    if (knowledge.rowSeenAt.has_value() && *knowledge.rowSeenAt >= tenure->since) {
+    if (knowledge.rowSeenAt.has_value() && *knowledge.rowSeenAt >= exclusiveFrom(*tenure)) {
         return true;
     }
     const bool mayBeForgotten = knowledge.lastForgottenUse.has_value()
@@ -280,24 +299,75 @@
 std::vector<std::string> BudgetLenders::availableVms()
 {
     std::vector<std::string> vms = m_vms.liveIncarnations();
+    const std::set<std::string> live(vms.begin(), vms.end());
     const SteadyTime now = m_clock.now();
     std::map<std::string, SteadyTime> silentSince;
+    std::set<std::string> lenders;
     for (const LenderTenure &tenure : m_table) {
-        const bool isLive = std::find(vms.begin(), vms.end(), tenure.lender) != vms.end();
-        if (tenure.lender.empty() || isLive || silentSince.contains(tenure.lender)) {
+        if (tenure.lender.empty() || m_vms.isReplaced(tenure.lender)) {
             continue;
         }
-        const auto known = m_silentSince.find(tenure.lender);
-        const SteadyTime since = known == m_silentSince.end() ? now : known->second;
-        silentSince[tenure.lender] = since;
-        if (now < since + LostLenderTime && !m_vms.isReplaced(tenure.lender)) {
-            vms.push_back(tenure.lender);
+        lenders.insert(tenure.lender);
+        if (!live.contains(tenure.lender)) {
+            const auto known = m_silentSince.find(tenure.lender);
+            silentSince[tenure.lender] = known == m_silentSince.end() ? now : known->second;
+        }
+    }
+    // A VM that hears few of the others is more likely to be cut off itself.
+    const bool hearsHalf = 2 * silentSince.size() <= lenders.size();
+    for (const auto &[lender, since] : silentSince) {
+        if (!hearsHalf || now < since + LostLenderTime) {
+            vms.push_back(lender);
         }
     }
     m_silentSince = std::move(silentSince);
     return vms;
 }
 
+LoanPermission BudgetLenders::askToLend(const ProgramId &program, const ProgramKnowledge &knowledge)
+{
+    if (!mayLend(program, knowledge)) {
+        return LoanPermission::Denied;
+    }
+    if (m_rights.mayLend()) {
+        return LoanPermission::Granted;
+    }
+    m_rights.request();
+    return m_rights.isPending() ? LoanPermission::Pending : LoanPermission::Denied;
+}
+
+void BudgetLenders::receive(const Endpoint &from, const peers::LendingNote &note)
+{
+    using Kind = peers::LendingNoteKind;
+    if (note.kind == Kind::ACKNOWLEDGEMENT) {
+        m_rights.handleAcknowledgement(note);
+        return;
+    }
+    if (note.kind == Kind::CLOSED) {
+        handleTestimony(note);
+        return;
+    }
+    if (note.witness != m_self) {
+        // Meant for an earlier incarnation, whose memory is gone.
+        return;
+    }
+    peers::LendingNote answer = note;
+    if (note.kind == Kind::CLEARED) {
+        m_witness.noteCleared(note.lender, note.sequence);
+        return;
+    }
+    if (note.kind == Kind::CLOSE) {
+        answer.kind = Kind::CLOSED;
+        answer.hasLent = m_witness.close(note.lender, note.revision);
+        m_send(from, answer);
+        return;
+    }
+    answer.kind = Kind::ACKNOWLEDGEMENT;
+    if (m_witness.noteLending(note.lender, note.revision, note.sequence)) {
+        m_send(from, answer);
+    }
+}
+
 void BudgetLenders::checkLenders()
 {
     m_timers.after(CheckInterval, [this] { checkLenders(); });
@@ -305,18 +375,183 @@
     if (!m_hasRead || m_writing || m_gaveUp || !isDue) {
         return;
     }
-    LenderTable table = m_table;
-    if (table.empty()) {
-        const PreviousTenure before = m_isFirstStart ? PreviousTenure::None : PreviousTenure::Lost;
-        table = LenderTable(LenderPartitions, LenderTenure{"", before, "", 0});
-    }
-    replaceLostLenders(table, availableVms());
+    maintainOwnTenures();
+    const std::vector<std::string> available = availableVms();
     removeOldReleases();
     // One VM writes, so that the others' writes don't meet it.
-    if (table == m_table || m_vms.coordinatorFor(LenderTableName).has_value()) {
+    if (m_writing || m_vms.coordinatorFor(LenderTableName).has_value()) {
+        m_inquiries.clear();
+        return;
+    }
+    std::set<std::string> lost;
+    for (const LenderTenure &tenure : m_table) {
+        const bool isAvailable =
+            std::find(available.begin(), available.end(), tenure.lender) != available.end();
+        if (!tenure.lender.empty() && !isAvailable && lost.size() < MaxReplacedAtOnce) {
+            lost.insert(tenure.lender);
+        }
+    }
+    if (inquire(lost)) {
+        replace(lost, available);
+    }
+}
+
+void BudgetLenders::maintainOwnTenures()
+{
+    if (!m_loans.areUnsettled()) {
+        m_rights.noteSettled();
+    }
+    if (m_ownTenures.empty()) {
+        return;
+    }
+    m_rights.maintain({lenderRow(), m_tableVersion});
+    TableChange change{m_table, {}, {}, {}};
+    for (const auto &[partition, tenure] : m_ownTenures) {
+        if (tenure.previous == PreviousTenure::Lost && isSettled(tenure)) {
+            change.table[partition].previous = PreviousTenure::Released;
+        }
+    }
+    if (change.table != m_table) {
+        write(std::move(change), [](bool) {});
+    }
+}
+
+bool BudgetLenders::inquire(const std::set<std::string> &lost)
+{
+    std::erase_if(m_inquiries, [&](const auto &item) { return !lost.contains(item.first); });
+    bool allDone = true;
+    for (const std::string &lender : lost) {
+        const auto found = m_inquiries.find(lender);
+        if (found == m_inquiries.end()) {
+            startInquiry(lender);
+            allDone = false;
+            continue;
+        }
+        if (resultOf(found->second) == InquiryResult::Pending) {
+            askWitnesses(lender, found->second);
+            allDone = false;
+        }
+    }
+    return allDone;
+}
+
+void BudgetLenders::startInquiry(const std::string &lender)
+{
+    m_inquiries[lender].startedAt = m_clock.now();
+    const RowName name = witnessRow(lender);
+    m_store.read({name.table, name.partition, name.key, name.key + " "},
+                 [this, lender](const ReadResult &result) {
+                     const auto found = m_inquiries.find(lender);
+                     if (found == m_inquiries.end()) {
+                         return;
+                     }
+                     if (result.answer != StoreAnswer::Done) {
+                         // Without the store no lender is replaced anyway.
+                         m_inquiries.erase(found);
+                         return;
+                     }
+                     Inquiry &inquiry = found->second;
+                     inquiry.list = WitnessList();
+                     if (!result.rows.empty()) {
+                         inquiry.rowVersion = result.rows.front().version;
+                         inquiry.list =
+                             decodeWitnessList(result.rows.front().value).value_or(WitnessList());
+                     }
+                     askWitnesses(lender, inquiry);
+                 });
+}
+
+void BudgetLenders::askWitnesses(const std::string &lender, const Inquiry &inquiry)
+{
+    if (!inquiry.list.has_value()) {
+        return;
+    }
+    for (const std::string &witness : inquiry.list->witnesses) {
+        peers::LendingNote note;
+        note.kind = peers::LendingNoteKind::CLOSE;
+        note.lender = lender;
+        note.witness = witness;
+        note.revision = inquiry.list->revision;
+        if (witness == m_self) {
+            note.hasLent = m_witness.close(lender, note.revision);
+            handleTestimony(note);
+        } else if (const std::optional<Endpoint> endpoint = m_vms.findLive(witness)) {
+            m_send(*endpoint, note);
+        }
+    }
+}
+
+void BudgetLenders::handleTestimony(const peers::LendingNote &note)
+{
+    const auto found = m_inquiries.find(note.lender);
+    if (found == m_inquiries.end() || !found->second.list.has_value()) {
+        return;
+    }
+    Inquiry &inquiry = found->second;
+    const std::vector<std::string> &witnesses = inquiry.list->witnesses;
+    const bool isWitness =
+        std::find(witnesses.begin(), witnesses.end(), note.witness) != witnesses.end();
+    if (!isWitness || note.revision != inquiry.list->revision) {
+        return;
+    }
+    inquiry.hasLent = inquiry.hasLent || note.hasLent;
+    if (!note.hasLent) {
+        inquiry.withoutLoans.insert(note.witness);
+    }
+}
+
+BudgetLenders::InquiryResult BudgetLenders::resultOf(const Inquiry &inquiry) const
+{
+    const bool isOver = m_clock.now() >= inquiry.startedAt + InquiryTime;
+    if (!inquiry.list.has_value()) {
+        return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
+    }
+    const std::size_t count = inquiry.list->witnesses.size();
+    if (count == 0 || inquiry.hasLent) {
+        return InquiryResult::Unknown;
+    }
+    if (inquiry.withoutLoans.size() >= testimoniesNeeded(count)) {
+        return InquiryResult::NothingLent;
+    }
+    return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
+}
+
+void BudgetLenders::replace(const std::set<std::string> &lost,
+                            const std::vector<std::string> &available)
+{
+    TableChange change{m_table, {}, {}, {}};
+    if (change.table.empty()) {
+        const PreviousTenure before = m_isFirstStart ? PreviousTenure::None : PreviousTenure::Lost;
+        change.table = LenderTable(LenderPartitions, LenderTenure{"", before, "", 0});
+    }
+    LenderExceptions exceptions;
+    for (const std::string &lender : lost) {
+        const Inquiry &inquiry = m_inquiries.at(lender);
+        const bool nothingLent = resultOf(inquiry) == InquiryResult::NothingLent;
+        if (nothingLent) {
+            exceptions.withoutLoans.insert(lender);
+            change.conditions.push_back({witnessRow(lender), inquiry.rowVersion});
+        }
+        if (inquiry.rowVersion != RowRevision(0)) {
+            change.removals.push_back(witnessRow(lender));
+        }
+        LogLine("lenders")
+            .add("lender", lender)
+            .add("witnesses", static_cast<std::int64_t>(inquiry.withoutLoans.size()))
+            .add("outcome", nothingLent ? "lost-nothing-lent" : "lost")
+            .warning();
+    }
+    // Lost lenders beyond MaxReplacedAtOnce are replaced by a change of their own.
+    for (const LenderTenure &tenure : m_table) {
+        if (!tenure.lender.empty() && !lost.contains(tenure.lender)) {
+            exceptions.kept.insert(tenure.lender);
+        }
+    }
+    replaceLostLenders(change.table, available, exceptions);
+    if (change.table == m_table) {
         return;
     }
-    write(table, {}, [](bool) {});
+    write(std::move(change), [this](bool) { m_inquiries.clear(); });
 }
 
 void BudgetLenders::removeOldReleases()
@@ -336,14 +571,15 @@
     }
 }
 
-void BudgetLenders::write(const LenderTable &table, std::vector<RowPut> others,
-                          std::function<void(bool)> done)
+void BudgetLenders::write(TableChange change, std::function<void(bool)> done)
 {
     m_writing = true;
     RowTransaction transaction;
-    transaction.conditions = {{lenderRow(), m_rowExists ? m_tableVersion : RowRevision(0)}};
-    transaction.puts = std::move(others);
-    transaction.puts.push_back({lenderRow(), encodeLenderTable(table)});
+    transaction.conditions = std::move(change.conditions);
+    transaction.conditions.push_back({lenderRow(), m_rowExists ? m_tableVersion : RowRevision(0)});
+    transaction.puts = std::move(change.puts);
+    transaction.puts.push_back({lenderRow(), encodeLenderTable(change.table)});
+    transaction.removals = std::move(change.removals);
     m_store.transact(std::move(transaction),
                      [this, done = std::move(done)](const TransactionResult &result) {
                          m_writing = false;
@@ -382,7 +618,8 @@
     std::erase(successors, m_self);
     releasePartitions(table, m_self, successors, [this](std::size_t partition) {
         const auto tenure = m_ownTenures.find(partition);
-        return tenure != m_ownTenures.end() && isComplete(tenure->second);
+        return tenure != m_ownTenures.end() && isComplete(tenure->second)
+            && m_clock.bootNow() >= exclusiveFrom(tenure->second);
     });
     if (table == m_table) {
         m_released = true;
@@ -394,14 +631,14 @@
                               return !isComplete(item.second) || isSettled(item.second)
                                   || item.second.programsBefore != nullptr;
                           });
-    std::vector<RowPut> puts;
+    TableChange change{table, {}, {}, {}};
     if (knowsAll) {
         const ReleasedPrograms programs = programsToPassOn(*recentPrograms);
         if (programs.size() <= MaxReleasedPrograms) {
-            puts.push_back({releaseRow(m_self), encodeReleasedPrograms(programs)});
+            change.puts.push_back({releaseRow(m_self), encodeReleasedPrograms(programs)});
         }
     }
-    write(table, std::move(puts), [this](bool done) { m_released = m_released || done; });
+    write(std::move(change), [this](bool done) { m_released = m_released || done; });
 }
 
 } // namespace boragepath
--- a/control/outage/budget_lenders.h
+++ b/control/outage/budget_lenders.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "control/outage/lender_table.h"
+#include "control/outage/lending_rights.h"
+#include "control/outage/lending_witness.h"
 #include "control/row_store.h"
 #include "control/vm_directory.h"
 #include "core/clock.h"
@@ -12,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +29,14 @@
     std::optional<BootTime> lastForgottenUse;
 };
 
+/** Whether a VM may lend to a program at the moment. */
+enum class LoanPermission {
+    Granted,
+    /** The VM's witnesses have been told, and are likely to answer soon. */
+    Pending,
+    Denied,
+};
+
 /**
  * Decides which VM may lend the budget of a program while the store is away.
  *
@@ -33,21 +44,30 @@
  * program's row, and may let the program use a part of it without the store; what that part leaves
  * is for all other VMs together (splitBudget()). The lenders stand in one row, which is changed by
  * a condition on its version. A lender relies on the row for a limited time after it has read it,
- * by a clock that goes on while the machine is suspended. A VM that replaces a lost lender waits
- * until that time has passed and the programs of the lost lender have ended.
+ * by a clock that goes on while the machine is suspended.
  *
- * What a lender has lent is in its memory alone. If it fails, its programs have the part of the
- * others, which lasts until the waiting time is over.
+ * What a lender has lent is in its memory alone, but witnesses know whether it can have lent
+ * anything that the rows lack (LendingRights). If a lender is lost and they say that it has not,
+ * its successor reserves whole budgets at once. Else its programs have the part of the others,
+ * until they have ended.
  */
 class BudgetLenders
 {
 public:
+    /** How this VM's loans stand, and what to do when it may lend after it could not. */
+    struct Loans
+    {
+        /** True if the rows lack some of what this VM has lent. */
+        std::function<bool()> areUnsettled;
+        std::function<void()> onGranted;
+    };
+
     /**
      * @param isFirstStart the whole system starts for the first time, so that no program has used
      *     a budget before.
      */
     BudgetLenders(const Clock &clock, Timers &timers, RowStore &store, const VmDirectory &vms,
-                  bool isFirstStart, std::uint64_t seed);
+                  bool isFirstStart, LendingRights::Send send, Loans loans, std::uint64_t seed);
 
     /** Reads the lenders, and follows their changes from then on. */
     void start();
@@ -58,6 +78,12 @@
      * tell that the program has used nothing but what this VM has lent.
      */
     bool mayLend(const ProgramId &program, const ProgramKnowledge &knowledge) const;
+    /** mayLend(), and whether the witnesses know; tells them if they don't. */
+    LoanPermission askToLend(const ProgramId &program, const ProgramKnowledge &knowledge);
+    /** The witnesses have been told that this VM lends, and are likely to answer soon. */
+    bool isLoanPending() const { return m_rights.isPending(); }
+    /** Handles a message from the VM at @p from. */
+    void receive(const Endpoint &from, const peers::LendingNote &note);
     /**
      * The VM that coordinates the budget of a program; nothing if it is this VM. The lender if it
      * is live, else the one chosen by rendezvous hashing.
@@ -97,6 +123,18 @@
         SteadyTime seenAt;
     };
 
+    /** What the witnesses of a lost lender say. */
+    struct Inquiry
+    {
+        SteadyTime startedAt;
+        std::optional<WitnessList> list;
+        RowRevision rowVersion;
+        /** Witnesses that say that it has lent nothing, and acknowledge nothing more. */
+        std::set<std::string> withoutLoans;
+        bool hasLent = false;
+    };
+    enum class InquiryResult { Pending, NothingLent, Unknown };
+
     const OwnTenure *validTenure(const ProgramId &program) const;
     /** Time after which programs that the new lender has not met have ended. */
     static Duration delayAfter(PreviousTenure previous);
@@ -104,6 +142,8 @@
     bool isSettled(const OwnTenure &tenure) const;
     /** True if the rows show all that programs have used of their lender's part. */
     bool isComplete(const OwnTenure &tenure) const;
+    /** From then on no lender before reserves whole budgets any more. */
+    static BootTime exclusiveFrom(const OwnTenure &tenure);
     void read();
     void follow();
     void apply(const std::vector<StoreRow> &rows);
@@ -119,10 +159,26 @@
     ReleasedPrograms programsToPassOn(const std::vector<ProgramId> &recentPrograms) const;
     /** Replaces lost lenders if this VM is the one to do it. */
     void checkLenders();
-    /** Live VMs, and lenders that have not been heard of for a short time only. */
+    /** Live VMs, and lenders that may be live: silent for a short time, or with most others. */
     std::vector<std::string> availableVms();
-    void write(const LenderTable &table, std::vector<RowPut> others,
-               std::function<void(bool)> done);
+    /** Keeps the list of witnesses, and marks partitions whose waiting time is over. */
+    void maintainOwnTenures();
+    /** Starts and goes on with the inquiries about lost lenders; true once all have a result. */
+    bool inquire(const std::set<std::string> &lost);
+    void startInquiry(const std::string &lender);
+    void askWitnesses(const std::string &lender, const Inquiry &inquiry);
+    InquiryResult resultOf(const Inquiry &inquiry) const;
+    void handleTestimony(const peers::LendingNote &note);
+    /** Writes a table in which these lenders are replaced. */
+    void replace(const std::set<std::string> &lost, const std::vector<std::string> &available);
+    struct TableChange
+    {
+        LenderTable table;
+        std::vector<RowCondition> conditions;
+        std::vector<RowPut> puts;
+        std::vector<RowName> removals;
+    };
+    void write(TableChange change, std::function<void(bool)> done);
     Milliseconds retryDelay();
 
     const Clock &m_clock;
@@ -145,6 +201,11 @@
     std::map<std::string, Release> m_releases;
     /** Since when each lender has not been live. */
     std::map<std::string, SteadyTime> m_silentSince;
+    LendingWitness m_witness;
+    LendingRights m_rights;
+    LendingRights::Send m_send;
+    Loans m_loans;
+    std::map<std::string, Inquiry> m_inquiries;
     SteadyTime m_startedAt;
     bool m_writing = false;
     bool m_gaveUp = false;
--- a/control/outage/lender_table.cpp
+++ b/control/outage/lender_table.cpp
@@ -40,6 +40,12 @@
     return loads;
 }
 
+/**
+ * In place of who released a partition: its lender is lost and has lent nothing. VMs that run an
+ * older version read it as a release without a list of programs.
+ */
+constexpr const char *NothingLentMark = "lost, nothing lent";
+
 /** Lender, previous tenure, who released the partition, and the number of the tenure. */
 constexpr std::size_t NumbersPerPartition = 4;
 
@@ -85,9 +91,11 @@
     };
     json::array partitions;
     for (const LenderTenure &tenure : table) {
+        const bool nothingLent = tenure.previous == PreviousTenure::NothingLent;
         partitions.push_back(numberOf(tenure.lender));
-        partitions.push_back(static_cast<std::int64_t>(tenure.previous));
-        partitions.push_back(numberOf(tenure.releasedBy));
+        partitions.push_back(
+            static_cast<std::int64_t>(nothingLent ? PreviousTenure::Released : tenure.previous));
+        partitions.push_back(numberOf(nothingLent ? NothingLentMark : tenure.releasedBy));
         partitions.push_back(tenure.number);
     }
     return json::serialize(json::object{{"names", names}, {"partitions", partitions}});
@@ -115,6 +123,10 @@
             || !number.is_int64()) {
             return std::nullopt;
         }
+        if (*previous == PreviousTenure::Released && *releasedBy == NothingLentMark) {
+            table.push_back({*lender, PreviousTenure::NothingLent, "", number.get_int64()});
+            continue;
+        }
         table.push_back({*lender, *previous, *releasedBy, number.get_int64()});
     }
     return table;
@@ -146,18 +158,21 @@
     return programs;
 }
 
-void replaceLostLenders(LenderTable &table, const std::vector<std::string> &live)
+void replaceLostLenders(LenderTable &table, const std::vector<std::string> &live,
+                        const LenderExceptions &exceptions)
 {
     if (live.empty()) {
         return;
     }
     std::map<std::string, std::size_t> loads = loadsOf(table, live);
     for (LenderTenure &tenure : table) {
-        if (loads.contains(tenure.lender)) {
+        if (loads.contains(tenure.lender) || exceptions.kept.contains(tenure.lender)) {
             continue;
         }
         if (!tenure.lender.empty()) {
-            tenure.previous = PreviousTenure::Lost;
+            const bool nothingLent = exceptions.withoutLoans.contains(tenure.lender)
+                && tenure.previous != PreviousTenure::Lost;
+            tenure.previous = nothingLent ? PreviousTenure::NothingLent : PreviousTenure::Lost;
             tenure.releasedBy.clear();
         }
         tenure.lender = leastLoaded(loads);
--- a/control/outage/lender_table.h
+++ b/control/outage/lender_table.h
@@ -20,6 +20,8 @@
     Released,
     /** It is not known what the lender has lent. */
     Lost,
+    /** The lender is lost, and its witnesses say that it has lent nothing. */
+    NothingLent,
 };
 
 /** Who lends the budgets of one partition of the programs. */
@@ -57,11 +59,22 @@
 /** None if @p text is not a valid list. */
 std::optional<ReleasedPrograms> decodeReleasedPrograms(const std::string &text);
 
+/** Lenders that a change of the table treats in a special way. */
+struct LenderExceptions
+{
+    /** Lost, and known to have lent nothing that the rows lack. */
+    std::set<std::string> withoutLoans;
+    /** Not to be replaced yet. */
+    std::set<std::string> kept;
+};
+
 /**
  * Gives the partitions without a lender in @p live to the live VMs that have the fewest. What their
- * lenders have lent counts as unknown.
+ * lenders have lent counts as unknown, unless it is known to be nothing and they knew themselves
+ * what had been lent before them.
  */
-void replaceLostLenders(LenderTable &table, const std::vector<std::string> &live);
+void replaceLostLenders(LenderTable &table, const std::vector<std::string> &live,
+                        const LenderExceptions &exceptions = {});
 
 /**
  * Gives the partitions of @p lender that @p isSettled holds for to the VMs of @p successors that
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -352,6 +352,17 @@
     return names;
 }
 
+std::vector<std::string> VmDirectory::otherIncarnations(bool ofOwnZone) const
+{
+    std::vector<std::string> names;
+    for (const auto &[vm, entry] : m_others) {
+        if (isLive(entry) && !entry.leaving && (entry.zone == m_self.zone) == ofOwnZone) {
+            names.push_back(incarnationName(entry));
+        }
+    }
+    return names;
+}
+
 std::optional<Endpoint> VmDirectory::findLive(const std::string &incarnation) const
 {
     const auto found = m_others.find(parseIncarnation(incarnation).vm);
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -124,6 +124,8 @@
     std::vector<Endpoint> rankedFor(const std::string &item, std::size_t count) const;
     /** Names of the live incarnations that are not about to stop, this one included. */
     std::vector<std::string> liveIncarnations() const;
+    /** Names of the other live incarnations that are not about to stop, of one zone or the rest. */
+    std::vector<std::string> otherIncarnations(bool ofOwnZone) const;
     /** Address for datagrams of an incarnation of another VM; nothing if it is not live. */
     std::optional<Endpoint> findLive(const std::string &incarnation) const;
     /** True if a later incarnation of the same VM is known. */
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -143,7 +143,12 @@
           m_clock, m_timers, m_store, m_vms,
           [this](const Endpoint &to, const peers::Envelope &envelope) { sendToPeer(to, envelope); },
           [this] { return m_store.directRouteUnavailable(); }, seedEndpoints(m_settings), seed)
-    , m_lenders(m_clock, m_timers, m_store, m_vms, m_settings.isFirstStart, seed)
+    , m_lenders(
+          m_clock, m_timers, m_store, m_vms, m_settings.isFirstStart,
+          [this](const Endpoint &to, const peers::LendingNote &note) { sendLendingNote(to, note); },
+          {[this] { return m_grants.hasLoans() || m_ledger.isSettlingLoans(); },
+           [this] { m_grants.onLendingGranted(); }},
+          seed)
     , m_grants(m_clock, m_timers, m_ledger, m_health, incarnationName(m_vms.self()))
     , m_ledgerRelay(
           m_clock, m_timers, m_ledger, m_grants, m_vms,
@@ -393,6 +398,13 @@
     sendToPeer(to, envelope);
 }
 
+void PlatformDaemon::sendLendingNote(const Endpoint &to, const peers::LendingNote &note)
+{
+    peers::Envelope envelope;
+    envelope.__set_lendingNote(note);
+    sendToPeer(to, envelope);
+}
+
 void PlatformDaemon::sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note)
 {
     peers::Envelope envelope;
@@ -442,6 +454,9 @@
     if (envelope.__isset.ledgerNote && sender.ok()) {
         m_ledgerRelay.receive(*sender, envelope.ledgerNote);
     }
+    if (envelope.__isset.lendingNote && sender.ok()) {
+        m_lenders.receive(*sender, envelope.lendingNote);
+    }
     if (envelope.__isset.streamOrigin && sender.ok()) {
         m_streams.receive(*sender, envelope.streamOrigin);
     }
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -76,6 +76,7 @@
     void sendRegistryCopy(const Endpoint &to, std::optional<std::int64_t> askedAtMillis);
     void loadRegistryCopy(const peers::RegistryCopy &copy);
     void sendLedgerNote(const Endpoint &to, const peers::LedgerNote &note);
+    void sendLendingNote(const Endpoint &to, const peers::LendingNote &note);
     void sendStreamOrigin(const Endpoint &to, const peers::StreamOriginNote &note);
     void sendStreamOutput(const Endpoint &to, const peers::StreamOutputNote &note);
     void sendPermitNote(const Endpoint &to, const peers::SendPermitNote &note);
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -267,6 +267,41 @@
   }
 }
 
+int _kLendingNoteKindValues[] = {
+  LendingNoteKind::NOTICE,
+  LendingNoteKind::ACKNOWLEDGEMENT,
+  LendingNoteKind::CLEARED,
+  LendingNoteKind::CLOSE,
+  LendingNoteKind::CLOSED
+};
+const char* _kLendingNoteKindNames[] = {
+  "NOTICE",
+  "ACKNOWLEDGEMENT",
+  "CLEARED",
+  "CLOSE",
+  "CLOSED"
+};
+const std::map<int, const char*> _LendingNoteKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kLendingNoteKindValues, _kLendingNoteKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const LendingNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _LendingNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _LendingNoteKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const LendingNoteKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _LendingNoteKind_VALUES_TO_NAMES.find(val);
+  if (it != _LendingNoteKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Suspicion::~Suspicion() noexcept {
 }
@@ -4100,6 +4135,200 @@
 }
 
 
+LendingNote::~LendingNote() noexcept {
+}
+
+
+void LendingNote::__set_kind(const LendingNoteKind::type val) {
+  this->kind = val;
+}
+
+void LendingNote::__set_lender(const std::string& val) {
+  this->lender = val;
+}
+
+void LendingNote::__set_witness(const std::string& val) {
+  this->witness = val;
+}
+
+void LendingNote::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void LendingNote::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LendingNote::__set_hasLent(const bool val) {
+  this->hasLent = val;
+}
+std::ostream& operator<<(std::ostream& out, const LendingNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LendingNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast84;
+          xfer += iprot->readI32(ecast84);
+          this->kind = static_cast<LendingNoteKind::type>(ecast84);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lender);
+          this->__isset.lender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->witness);
+          this->__isset.witness = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasLent);
+          this->__isset.hasLent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LendingNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LendingNote");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lender", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->lender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("witness", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->witness);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hasLent", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->hasLent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LendingNote &a, LendingNote &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.lender, b.lender);
+  swap(a.witness, b.witness);
+  swap(a.revision, b.revision);
+  swap(a.sequence, b.sequence);
+  swap(a.hasLent, b.hasLent);
+  swap(a.__isset, b.__isset);
+}
+
+LendingNote::LendingNote(const LendingNote& other85) {
+  kind = other85.kind;
+  lender = other85.lender;
+  witness = other85.witness;
+  revision = other85.revision;
+  sequence = other85.sequence;
+  hasLent = other85.hasLent;
+  __isset = other85.__isset;
+}
+LendingNote& LendingNote::operator=(const LendingNote& other86) {
+  kind = other86.kind;
+  lender = other86.lender;
+  witness = other86.witness;
+  revision = other86.revision;
+  sequence = other86.sequence;
+  hasLent = other86.hasLent;
+  __isset = other86.__isset;
+  return *this;
+}
+void LendingNote::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LendingNote(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "lender=" << to_string(lender);
+  out << ", " << "witness=" << to_string(witness);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "hasLent=" << to_string(hasLent);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -4216,6 +4445,11 @@
   this->streamOutput = val;
 __isset.streamOutput = true;
 }
+
+void Envelope::__set_lendingNote(const LendingNote& val) {
+  this->lendingNote = val;
+__isset.lendingNote = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -4272,14 +4506,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->permitRequests.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->permitRequests.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->permitRequests[_i88].read(iprot);
+              xfer += this->permitRequests[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4292,14 +4526,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitAnswers.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->permitAnswers.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->permitAnswers.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->permitAnswers[_i93].read(iprot);
+              xfer += this->permitAnswers[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4312,14 +4546,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReleases.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->permitReleases.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->permitReleases.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->permitReleases[_i98].read(iprot);
+              xfer += this->permitReleases[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4332,14 +4566,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitsReleased.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->permitsReleased.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->permitsReleased.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->permitsReleased[_i103].read(iprot);
+              xfer += this->permitsReleased[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4360,14 +4594,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmNews.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->vmNews.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->vmNews.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->vmNews[_i108].read(iprot);
+              xfer += this->vmNews[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4420,14 +4654,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vmHeartbeats.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->vmHeartbeats.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->vmHeartbeats.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->vmHeartbeats[_i113].read(iprot);
+              xfer += this->vmHeartbeats[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4440,14 +4674,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknownVms.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->unknownVms.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->unknownVms.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += iprot->readI64(this->unknownVms[_i118]);
+              xfer += iprot->readI64(this->unknownVms[_i121]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4476,14 +4710,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicaLimits.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->replicaLimits.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->replicaLimits.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->replicaLimits[_i123].read(iprot);
+              xfer += this->replicaLimits[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4496,14 +4730,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requestCrashes.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->requestCrashes.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->requestCrashes.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->requestCrashes[_i128].read(iprot);
+              xfer += this->requestCrashes[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4536,6 +4770,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->lendingNote.read(iprot);
+          this->__isset.lendingNote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4570,10 +4812,10 @@
     xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-      std::vector<PermitRequest> ::const_iterator _iter129;
-      for (_iter129 = this->permitRequests.begin(); _iter129 != this->permitRequests.end(); ++_iter129)
+      std::vector<PermitRequest> ::const_iterator _iter132;
+      for (_iter132 = this->permitRequests.begin(); _iter132 != this->permitRequests.end(); ++_iter132)
       {
-        xfer += (*_iter129).write(oprot);
+        xfer += (*_iter132).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4583,10 +4825,10 @@
     xfer += oprot->writeFieldBegin("permitAnswers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitAnswers.size()));
-      std::vector<PermitAnswer> ::const_iterator _iter130;
-      for (_iter130 = this->permitAnswers.begin(); _iter130 != this->permitAnswers.end(); ++_iter130)
+      std::vector<PermitAnswer> ::const_iterator _iter133;
+      for (_iter133 = this->permitAnswers.begin(); _iter133 != this->permitAnswers.end(); ++_iter133)
       {
-        xfer += (*_iter130).write(oprot);
+        xfer += (*_iter133).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4596,10 +4838,10 @@
     xfer += oprot->writeFieldBegin("permitReleases", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReleases.size()));
-      std::vector<PermitRelease> ::const_iterator _iter131;
-      for (_iter131 = this->permitReleases.begin(); _iter131 != this->permitReleases.end(); ++_iter131)
+      std::vector<PermitRelease> ::const_iterator _iter134;
+      for (_iter134 = this->permitReleases.begin(); _iter134 != this->permitReleases.end(); ++_iter134)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter134).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4609,10 +4851,10 @@
     xfer += oprot->writeFieldBegin("permitsReleased", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitsReleased.size()));
-      std::vector<PermitReleased> ::const_iterator _iter132;
-      for (_iter132 = this->permitsReleased.begin(); _iter132 != this->permitsReleased.end(); ++_iter132)
+      std::vector<PermitReleased> ::const_iterator _iter135;
+      for (_iter135 = this->permitsReleased.begin(); _iter135 != this->permitsReleased.end(); ++_iter135)
       {
-        xfer += (*_iter132).write(oprot);
+        xfer += (*_iter135).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4627,10 +4869,10 @@
     xfer += oprot->writeFieldBegin("vmNews", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmNews.size()));
-      std::vector<VmNews> ::const_iterator _iter133;
-      for (_iter133 = this->vmNews.begin(); _iter133 != this->vmNews.end(); ++_iter133)
+      std::vector<VmNews> ::const_iterator _iter136;
+      for (_iter136 = this->vmNews.begin(); _iter136 != this->vmNews.end(); ++_iter136)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter136).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4665,10 +4907,10 @@
     xfer += oprot->writeFieldBegin("vmHeartbeats", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vmHeartbeats.size()));
-      std::vector<VmHeartbeat> ::const_iterator _iter134;
-      for (_iter134 = this->vmHeartbeats.begin(); _iter134 != this->vmHeartbeats.end(); ++_iter134)
+      std::vector<VmHeartbeat> ::const_iterator _iter137;
+      for (_iter137 = this->vmHeartbeats.begin(); _iter137 != this->vmHeartbeats.end(); ++_iter137)
       {
-        xfer += (*_iter134).write(oprot);
+        xfer += (*_iter137).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4678,10 +4920,10 @@
     xfer += oprot->writeFieldBegin("unknownVms", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownVms.size()));
-      std::vector<int64_t> ::const_iterator _iter135;
-      for (_iter135 = this->unknownVms.begin(); _iter135 != this->unknownVms.end(); ++_iter135)
+      std::vector<int64_t> ::const_iterator _iter138;
+      for (_iter138 = this->unknownVms.begin(); _iter138 != this->unknownVms.end(); ++_iter138)
       {
-        xfer += oprot->writeI64((*_iter135));
+        xfer += oprot->writeI64((*_iter138));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4701,10 +4943,10 @@
     xfer += oprot->writeFieldBegin("replicaLimits", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicaLimits.size()));
-      std::vector<ReplicaLimitNews> ::const_iterator _iter136;
-      for (_iter136 = this->replicaLimits.begin(); _iter136 != this->replicaLimits.end(); ++_iter136)
+      std::vector<ReplicaLimitNews> ::const_iterator _iter139;
+      for (_iter139 = this->replicaLimits.begin(); _iter139 != this->replicaLimits.end(); ++_iter139)
       {
-        xfer += (*_iter136).write(oprot);
+        xfer += (*_iter139).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4714,10 +4956,10 @@
     xfer += oprot->writeFieldBegin("requestCrashes", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requestCrashes.size()));
-      std::vector<RequestCrashNews> ::const_iterator _iter137;
-      for (_iter137 = this->requestCrashes.begin(); _iter137 != this->requestCrashes.end(); ++_iter137)
+      std::vector<RequestCrashNews> ::const_iterator _iter140;
+      for (_iter140 = this->requestCrashes.begin(); _iter140 != this->requestCrashes.end(); ++_iter140)
       {
-        xfer += (*_iter137).write(oprot);
+        xfer += (*_iter140).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4738,6 +4980,11 @@
     xfer += this->streamOutput.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.lendingNote) {
+    xfer += oprot->writeFieldBegin("lendingNote", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->lendingNote.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4768,60 +5015,63 @@
   swap(a.quotaNote, b.quotaNote);
   swap(a.registryAskedAtMillis, b.registryAskedAtMillis);
   swap(a.streamOutput, b.streamOutput);
+  swap(a.lendingNote, b.lendingNote);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other138) {
-  vm = other138.vm;
-  fence = other138.fence;
-  probe = other138.probe;
-  permitRequests = other138.permitRequests;
-  permitAnswers = other138.permitAnswers;
-  permitReleases = other138.permitReleases;
-  permitsReleased = other138.permitsReleased;
-  heldPrograms = other138.heldPrograms;
-  vmNews = other138.vmNews;
-  wantsNews = other138.wantsNews;
-  ledgerNote = other138.ledgerNote;
-  replyTo = other138.replyTo;
-  wantsRegistry = other138.wantsRegistry;
-  registryCopy = other138.registryCopy;
-  vmHeartbeats = other138.vmHeartbeats;
-  unknownVms = other138.unknownVms;
-  streamOrigin = other138.streamOrigin;
-  sendPermit = other138.sendPermit;
-  replicaLimits = other138.replicaLimits;
-  requestCrashes = other138.requestCrashes;
-  quotaNote = other138.quotaNote;
-  registryAskedAtMillis = other138.registryAskedAtMillis;
-  streamOutput = other138.streamOutput;
-  __isset = other138.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other139) {
-  vm = other139.vm;
-  fence = other139.fence;
-  probe = other139.probe;
-  permitRequests = other139.permitRequests;
-  permitAnswers = other139.permitAnswers;
-  permitReleases = other139.permitReleases;
-  permitsReleased = other139.permitsReleased;
-  heldPrograms = other139.heldPrograms;
-  vmNews = other139.vmNews;
-  wantsNews = other139.wantsNews;
-  ledgerNote = other139.ledgerNote;
-  replyTo = other139.replyTo;
-  wantsRegistry = other139.wantsRegistry;
-  registryCopy = other139.registryCopy;
-  vmHeartbeats = other139.vmHeartbeats;
-  unknownVms = other139.unknownVms;
-  streamOrigin = other139.streamOrigin;
-  sendPermit = other139.sendPermit;
-  replicaLimits = other139.replicaLimits;
-  requestCrashes = other139.requestCrashes;
-  quotaNote = other139.quotaNote;
-  registryAskedAtMillis = other139.registryAskedAtMillis;
-  streamOutput = other139.streamOutput;
-  __isset = other139.__isset;
+Envelope::Envelope(const Envelope& other141) {
+  vm = other141.vm;
+  fence = other141.fence;
+  probe = other141.probe;
+  permitRequests = other141.permitRequests;
+  permitAnswers = other141.permitAnswers;
+  permitReleases = other141.permitReleases;
+  permitsReleased = other141.permitsReleased;
+  heldPrograms = other141.heldPrograms;
+  vmNews = other141.vmNews;
+  wantsNews = other141.wantsNews;
+  ledgerNote = other141.ledgerNote;
+  replyTo = other141.replyTo;
+  wantsRegistry = other141.wantsRegistry;
+  registryCopy = other141.registryCopy;
+  vmHeartbeats = other141.vmHeartbeats;
+  unknownVms = other141.unknownVms;
+  streamOrigin = other141.streamOrigin;
+  sendPermit = other141.sendPermit;
+  replicaLimits = other141.replicaLimits;
+  requestCrashes = other141.requestCrashes;
+  quotaNote = other141.quotaNote;
+  registryAskedAtMillis = other141.registryAskedAtMillis;
+  streamOutput = other141.streamOutput;
+  lendingNote = other141.lendingNote;
+  __isset = other141.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other142) {
+  vm = other142.vm;
+  fence = other142.fence;
+  probe = other142.probe;
+  permitRequests = other142.permitRequests;
+  permitAnswers = other142.permitAnswers;
+  permitReleases = other142.permitReleases;
+  permitsReleased = other142.permitsReleased;
+  heldPrograms = other142.heldPrograms;
+  vmNews = other142.vmNews;
+  wantsNews = other142.wantsNews;
+  ledgerNote = other142.ledgerNote;
+  replyTo = other142.replyTo;
+  wantsRegistry = other142.wantsRegistry;
+  registryCopy = other142.registryCopy;
+  vmHeartbeats = other142.vmHeartbeats;
+  unknownVms = other142.unknownVms;
+  streamOrigin = other142.streamOrigin;
+  sendPermit = other142.sendPermit;
+  replicaLimits = other142.replicaLimits;
+  requestCrashes = other142.requestCrashes;
+  quotaNote = other142.quotaNote;
+  registryAskedAtMillis = other142.registryAskedAtMillis;
+  streamOutput = other142.streamOutput;
+  lendingNote = other142.lendingNote;
+  __isset = other142.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -4850,6 +5100,7 @@
   out << ", " << "quotaNote="; (__isset.quotaNote ? (out << to_string(quotaNote)) : (out << "<null>"));
   out << ", " << "registryAskedAtMillis="; (__isset.registryAskedAtMillis ? (out << to_string(registryAskedAtMillis)) : (out << "<null>"));
   out << ", " << "streamOutput="; (__isset.streamOutput ? (out << to_string(streamOutput)) : (out << "<null>"));
+  out << ", " << "lendingNote="; (__isset.lendingNote ? (out << to_string(lendingNote)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -136,6 +136,22 @@
 
 std::string to_string(const QuotaNoteKind::type& val);
 
+struct LendingNoteKind {
+  enum type {
+    NOTICE = 0,
+    ACKNOWLEDGEMENT = 1,
+    CLEARED = 2,
+    CLOSE = 3,
+    CLOSED = 4
+  };
+};
+
+extern const std::map<int, const char*> _LendingNoteKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const LendingNoteKind::type& val);
+
+std::string to_string(const LendingNoteKind::type& val);
+
 class Suspicion;
 
 class ReplicaLoad;
@@ -174,6 +190,8 @@
 
 class QuotaNote;
 
+class LendingNote;
+
 class Envelope;
 
 typedef struct _Suspicion__isset {
@@ -1714,8 +1732,90 @@
 
 std::ostream& operator<<(std::ostream& out, const QuotaNote& obj);
 
+typedef struct _LendingNote__isset {
+  _LendingNote__isset() : kind(false), lender(false), witness(false), revision(false), sequence(false), hasLent(false) {}
+  bool kind :1;
+  bool lender :1;
+  bool witness :1;
+  bool revision :1;
+  bool sequence :1;
+  bool hasLent :1;
+} _LendingNote__isset;
+
+class LendingNote : public virtual ::apache::thrift::TBase {
+ public:
+
+  LendingNote(const LendingNote&);
+  LendingNote& operator=(const LendingNote&);
+  LendingNote() noexcept
+              : kind(static_cast<LendingNoteKind::type>(0)),
+                lender(),
+                witness(),
+                revision(0),
+                sequence(0),
+                hasLent(0) {
+  }
+
+  virtual ~LendingNote() noexcept;
+  /**
+   * 
+   * @see LendingNoteKind
+   */
+  LendingNoteKind::type kind;
+  std::string lender;
+  std::string witness;
+  int64_t revision;
+  int64_t sequence;
+  bool hasLent;
+
+  _LendingNote__isset __isset;
+
+  void __set_kind(const LendingNoteKind::type val);
+
+  void __set_lender(const std::string& val);
+
+  void __set_witness(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_hasLent(const bool val);
+
+  bool operator == (const LendingNote & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(lender == rhs.lender))
+      return false;
+    if (!(witness == rhs.witness))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(hasLent == rhs.hasLent))
+      return false;
+    return true;
+  }
+  bool operator != (const LendingNote &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LendingNote & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LendingNote &a, LendingNote &b);
+
+std::ostream& operator<<(std::ostream& out, const LendingNote& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false), quotaNote(false), registryAskedAtMillis(false), streamOutput(false) {}
+  _Envelope__isset() : vm(false), fence(false), probe(false), permitRequests(false), permitAnswers(false), permitReleases(false), permitsReleased(false), heldPrograms(false), vmNews(false), wantsNews(false), ledgerNote(false), replyTo(false), wantsRegistry(false), registryCopy(false), vmHeartbeats(false), unknownVms(false), streamOrigin(false), sendPermit(false), replicaLimits(false), requestCrashes(false), quotaNote(false), registryAskedAtMillis(false), streamOutput(false), lendingNote(false) {}
   bool vm :1;
   bool fence :1;
   bool probe :1;
@@ -1739,6 +1839,7 @@
   bool quotaNote :1;
   bool registryAskedAtMillis :1;
   bool streamOutput :1;
+  bool lendingNote :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1779,6 +1880,7 @@
   QuotaNote quotaNote;
   int64_t registryAskedAtMillis;
   StreamOutputNote streamOutput;
+  LendingNote lendingNote;
 
   _Envelope__isset __isset;
 
@@ -1828,6 +1930,8 @@
 
   void __set_streamOutput(const StreamOutputNote& val);
 
+  void __set_lendingNote(const LendingNote& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1918,6 +2022,10 @@
       return false;
     else if (__isset.streamOutput && !(streamOutput == rhs.streamOutput))
       return false;
+    if (__isset.lendingNote != rhs.__isset.lendingNote)
+      return false;
+    else if (__isset.lendingNote && !(lendingNote == rhs.lendingNote))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -331,6 +331,32 @@
     18: optional bool resharded;
 }
 
+enum LendingNoteKind {
+    // The lender is about to lend, and asks the witness to remember that.
+    NOTICE = 0,
+    // The witness remembers the notice.
+    ACKNOWLEDGEMENT = 1,
+    // The rows contain all that was lent after the notice.
+    CLEARED = 2,
+    // The sender replaces the lender: whether it has lent, and no notice is acknowledged any more.
+    CLOSE = 3,
+    CLOSED = 4,
+}
+
+// A message between a lender of budgets, or a VM that replaces it, and one of its witnesses.
+struct LendingNote {
+    1: LendingNoteKind kind;
+    // Names of the incarnations of the lender and of the witness.
+    2: string lender;
+    3: string witness;
+    // Number of the lender's list of witnesses.
+    4: i64 revision;
+    // Number of the lender's notice.
+    5: i64 sequence;
+    // CLOSED: the rows may lack what the lender has lent.
+    6: bool hasLent;
+}
+
 // One datagram.
 struct Envelope {
     1: string vm;
@@ -362,4 +388,5 @@
     // With wantsRegistry: the asking VM's own time, which the answer repeats.
     22: optional i64 registryAskedAtMillis;
     23: optional StreamOutputNote streamOutput;
+    24: optional LendingNote lendingNote;
 }
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace boragepath {
@@ -26,6 +27,7 @@
 constexpr std::int64_t MaxTurnTokens = 600;
 constexpr Milliseconds StoreTimeout{400};
 constexpr Milliseconds GossipInterval{300};
+constexpr Milliseconds DatagramDelay{2};
 /** All VMs see a change of the lenders within this time. */
 constexpr Seconds FeedTime{5};
 
@@ -111,12 +113,15 @@
 struct LendingVm
 {
     LendingVm(ManualClock &clock, ManualTimers &timers, MemoryRowStore &rows, VmEntry self,
-              bool isFirstStart, std::uint64_t seed)
+              bool isFirstStart, LendingRights::Send send, std::uint64_t seed)
         : health(clock)
         , store(timers, rows, health)
         , vms(clock, self, seed)
         , ledger(clock, timers, store, health, seed)
-        , lenders(clock, timers, store, vms, isFirstStart, seed)
+        , lenders(clock, timers, store, vms, isFirstStart, std::move(send),
+                  {[this] { return grants.hasLoans() || ledger.isSettlingLoans(); },
+                   [this] { grants.onLendingGranted(); }},
+                  seed)
         , grants(clock, timers, ledger, health, incarnationName(self))
     {
         ledger.setAuthority(
@@ -228,6 +233,8 @@
     ManualClock clock;
     ManualTimers timers{clock};
     MemoryRowStore store;
+    /** VMs that exchange no messages with others. */
+    std::set<VmId> cutOff;
     AttemptId lastTurn;
     /** What the turns of each program may have used at most. */
     std::map<std::string, std::int64_t> grantedTokens;
@@ -236,15 +243,48 @@
     std::unique_ptr<LendingVm> makeVm(std::size_t number, bool isFirstStart)
     {
         m_incarnations += 1;
-        return std::make_unique<LendingVm>(clock, timers, store, vmEntry(number, m_incarnations),
-                                           isFirstStart, m_seed + m_incarnations);
+        const VmEntry self = vmEntry(number, m_incarnations);
+        return std::make_unique<LendingVm>(
+            clock, timers, store, self, isFirstStart,
+            [this, self](const Endpoint &to, const peers::LendingNote &note) {
+                send(self, to, note);
+            },
+            m_seed + m_incarnations);
+    }
+
+    bool isCut(const VmEntry &vm) const { return cutOff.contains(vm.vm); }
+
+    /** The process of @p sender, if it is still there. */
+    LendingVm *running(const VmEntry &sender) const
+    {
+        for (const auto &vm : m_vms) {
+            if (vm != nullptr && incarnationName(vm->vms.self()) == incarnationName(sender)) {
+                return vm.get();
+            }
+        }
+        return nullptr;
+    }
+
+    void send(const VmEntry &sender, const Endpoint &to, const peers::LendingNote &note)
+    {
+        timers.after(DatagramDelay, [this, sender, to, note] {
+            for (const auto &vm : m_vms) {
+                const bool isLost = running(sender) == nullptr || vm == nullptr || isCut(sender)
+                    || isCut(vm->vms.self());
+                if (!isLost && vm->vms.self().peers == to) {
+                    vm->lenders.receive(sender.peers, note);
+                }
+            }
+        });
     }
 
     void gossip()
     {
         for (const auto &sender : m_vms) {
             for (const auto &receiver : m_vms) {
-                receiver->vms.receive(sender->vms.ownNews());
+                if (!isCut(sender->vms.self()) && !isCut(receiver->vms.self())) {
+                    receiver->vms.receive(sender->vms.ownNews());
+                }
             }
         }
         timers.after(GossipInterval, [this] { gossip(); });
@@ -297,10 +337,25 @@
     releasePartitions(table, "vm-2/1", {"vm-3/1"}, [](std::size_t) { return true; });
     EXPECT_EQ(partitionsOf("vm-3/1"), static_cast<std::ptrdiff_t>(LenderPartitions));
     EXPECT_EQ(decodeLenderTable(encodeLenderTable(table)), table);
+    replaceLostLenders(table, {"vm-4/1"}, {{"vm-3/1"}, {}});
+    EXPECT_EQ(decodeLenderTable(encodeLenderTable(table)), table);
+    EXPECT_TRUE(std::any_of(table.begin(), table.end(), [](const LenderTenure &tenure) {
+        return tenure.previous == PreviousTenure::NothingLent;
+    }));
     EXPECT_EQ(decodeReleasedPrograms(encodeReleasedPrograms({-7, 9})), (ReleasedPrograms{-7, 9}));
     EXPECT_EQ(decodeReleasedPrograms("{}"), std::nullopt);
     EXPECT_TRUE(std::all_of(table.begin(), table.end(), [](const LenderTenure &tenure) {
-        return tenure.previous != PreviousTenure::None || tenure.lender == "vm-3/1";
+        return tenure.previous != PreviousTenure::None || tenure.lender == "vm-4/1";
+    }));
+}
+
+/** A lender that does not know itself what was lent before it can't have its successor know it. */
+TEST(LenderTable, ALostTenureStaysLostWhateverTheWitnessesOfTheNextOneSay)
+{
+    LenderTable table(LenderPartitions, LenderTenure{"vm-1/1", PreviousTenure::Lost, "", 3});
+    replaceLostLenders(table, {"vm-2/1"}, {{"vm-1/1"}, {}});
+    EXPECT_TRUE(std::all_of(table.begin(), table.end(), [](const LenderTenure &tenure) {
+        return tenure.lender == "vm-2/1" && tenure.previous == PreviousTenure::Lost;
     }));
 }
 
@@ -404,6 +459,137 @@
     EXPECT_LE(used, Budget + MaxTurnTokens);
 }
 
+/**
+ * A VM is killed while the store works. It has lent nothing, and its witnesses say so: its programs
+ * need not do with half of their budgets for ten minutes.
+ */
+TEST(BudgetLending, ALenderThatIsLostWithoutLoansCostsItsProgramsNothing)
+{
+    for (const std::size_t vms : {2, 3, 4, 8}) {
+        SCOPED_TRACE(vms);
+        LendingFleet fleet(vms);
+        const std::size_t lender = fleet.lenderOf("p");
+        ASSERT_LT(lender, fleet.size());
+        fleet.crash(lender);
+        fleet.timers.run(FeedTime * 2);
+        const std::size_t successor = fleet.lenderOf("p");
+        ASSERT_LT(successor, fleet.size());
+        for (int turn = 0; turn < Budget / MaxTurnTokens; ++turn) {
+            EXPECT_EQ(fleet.reserve(successor, "p"), ReservationResult::Granted);
+            fleet.settle(successor, "p", MaxTurnTokens);
+        }
+        EXPECT_EQ(fleet.reserve(successor, "p", Seconds(2)), ReservationResult::BudgetExhausted);
+    }
+}
+
+/** The rows have what it lent in an outage, and its witnesses were told so. */
+TEST(BudgetLending, ALenderThatIsLostAfterItsLoansWereSettledCostsNothing)
+{
+    LendingFleet fleet(3);
+    const std::size_t lender = fleet.lenderOf("p");
+    fleet.setStoreAway(true);
+    ASSERT_EQ(fleet.reserve(lender, "p"), ReservationResult::Granted);
+    fleet.settle(lender, "p", 500);
+    fleet.setStoreAway(false);
+    fleet.timers.run(Seconds(10));
+    ASSERT_FALSE(fleet.vm(lender).grants.hasLoans());
+    fleet.crash(lender);
+    fleet.timers.run(FeedTime * 2);
+    EXPECT_LT(fleet.lenderOf("p"), fleet.size());
+}
+
+/** VMs are killed one after the other, so that each list names some that have ended. */
+TEST(BudgetLending, LendersThatAreLostInTurnCostNothing)
+{
+    LendingFleet fleet(4);
+    for (std::size_t round = 0; round < 3 * fleet.size(); ++round) {
+        fleet.crash(round % fleet.size());
+        fleet.timers.run(FeedTime * 4);
+        for (int number = 0; number < 20; ++number) {
+            EXPECT_LT(fleet.lenderOf(absl::StrCat("program-", number)), fleet.size()) << round;
+        }
+    }
+}
+
+/** Nobody is left that knows whether the lost lenders have lent. */
+TEST(BudgetLending, LendersThatAreLostWithTheirWitnessesCountAsHavingLent)
+{
+    LendingFleet fleet(3);
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+        fleet.crash(vm);
+    }
+    fleet.timers.run(FeedTime * 4);
+    EXPECT_EQ(fleet.lenderOf("p"), fleet.size());
+}
+
+/** Its witnesses can't learn that it lends, and would say that it has not. */
+TEST(BudgetLending, ALenderThatCannotTellItsWitnessesLendsNothing)
+{
+    LendingFleet fleet(3);
+    const std::size_t lender = fleet.lenderOf("p");
+    fleet.cutOff.insert(fleet.vm(lender).vms.self().vm);
+    fleet.setStoreAway(true);
+    EXPECT_EQ(fleet.reserve(lender, "p", Seconds(2)), ReservationResult::StoreUnavailable);
+    fleet.cutOff.clear();
+    fleet.timers.run(Seconds(2));
+    EXPECT_EQ(fleet.reserve(lender, "p"), ReservationResult::Granted);
+}
+
+/**
+ * A VM that is cut off from the others keeps its term, and reserves whole budgets in rows. Its
+ * successor must not lend what the row may lose to it meanwhile.
+ */
+TEST(BudgetLending, TheSuccessorOfALenderThatMayGoOnLendsNothingInItsTerm)
+{
+    LendingFleet fleet(3);
+    const std::size_t lender = fleet.lenderOf("p");
+    fleet.cutOff.insert(fleet.vm(lender).vms.self().vm);
+    fleet.timers.run(Seconds(25));
+    const LenderTable table =
+        decodeLenderTable(fleet.store.rows().at({"budget-lenders", "", "all"}).value).value();
+    const LenderTenure &tenure = table[lenderPartition(ProgramId("p"))];
+    ASSERT_EQ(tenure.previous, PreviousTenure::NothingLent);
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+        if (tenure.lender != incarnationName(fleet.vm(vm).vms.self())) {
+            continue;
+        }
+        ASSERT_EQ(fleet.reserve(vm, "p"), ReservationResult::Granted);
+        fleet.settle(vm, "p", 100);
+        fleet.timers.run(Seconds(2));
+        fleet.setStoreAway(true);
+        EXPECT_EQ(fleet.reserve(vm, "p", Seconds(2)), ReservationResult::StoreUnavailable);
+    }
+}
+
+TEST(LendingWitness, AcknowledgesNothingOfAListThatIsClosed)
+{
+    ManualClock clock;
+    LendingWitness witness(clock);
+    EXPECT_FALSE(witness.close("silent", 1));
+    EXPECT_FALSE(witness.noteLending("silent", 1, 1));
+    EXPECT_TRUE(witness.noteLending("silent", 2, 1)) << "a list that was written after it";
+
+    EXPECT_TRUE(witness.noteLending("lender", 1, 1));
+    EXPECT_TRUE(witness.close("lender", 1));
+    witness.noteCleared("lender", 1);
+    EXPECT_FALSE(witness.close("lender", 1));
+    witness.noteLending("lender", 2, 3);
+    witness.noteCleared("lender", 2);
+    EXPECT_TRUE(witness.close("lender", 2)) << "a message about an earlier notice came late";
+}
+
+TEST(LendingWitness, SomebodyKnowsAmongThoseWhoAreAsked)
+{
+    for (std::size_t count = 1; count <= MaxWitnesses; ++count) {
+        EXPECT_GT(acknowledgementsNeeded(count) + testimoniesNeeded(count), count);
+        EXPECT_GE(acknowledgementsNeeded(count), 1U);
+    }
+    const WitnessList list{7, {"vm-1/3", "vm-2/9"}};
+    EXPECT_EQ(decodeWitnessList(encodeWitnessList(list)), list);
+    EXPECT_EQ(decodeWitnessList(R"({"revision":"7"})"), std::nullopt);
+    EXPECT_EQ(decodeWitnessList(R"({"revision":1,"witnesses":[3]})"), std::nullopt);
+}
+
 /** A VM that was suspended for long wakes and doesn't know that others have replaced it. */
 TEST(BudgetLending, ALenderThatWasSuspendedLendsNothingAfterItsTerm)
 {
@@ -577,7 +763,7 @@
     SteadyTime begunAt = fleet.clock.now();
     for (int step = 0; step < 60; ++step) {
         const std::size_t vm = random() % fleet.size();
-        switch (random() % 12) {
+        switch (random() % 13) {
         case 0:
             fleet.vm(vm).store.isAway = !fleet.vm(vm).store.isAway;
             break;
@@ -597,6 +783,12 @@
         case 5:
             fleet.timers.run(Seconds(random() % 15));
             break;
+        case 6:
+            fleet.cutOff.clear();
+            if (random() % 2 == 0) {
+                fleet.cutOff.insert(fleet.vm(vm).vms.self().vm);
+            }
+            break;
         default:
             if (fleet.reserve(vm, program, Milliseconds(random() % 1'500))
                     == ReservationResult::Granted
--- a/tests/control/call_queue_order_test.cpp
+++ b/tests/control/call_queue_order_test.cpp
@@ -137,8 +137,8 @@
         , m_quarantine(m_clock, m_timers, m_vms, nullptr)
         , m_lease(m_clock)
         , m_quotas(m_clock, m_timers, m_vms, nullptr, 1)
-        , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_outputs, m_vms, m_health,
-                       m_limits, m_permits, m_quarantine, m_lease, m_quotas, ZoneId("z")})
+        , m_scheduler({m_clock, m_timers, m_replicas, m_relay, m_turns, m_streams, m_outputs, m_vms,
+                       m_health, m_limits, m_permits, m_quarantine, m_lease, m_quotas, ZoneId("z")})
     {
         auto table = std::make_shared<RouteTable>();
         table->version = ConfigurationVersion(1);
