--- a/tests/platform/registry_reader_test.cpp
+++ b/tests/platform/registry_reader_test.cpp
@@ -260,4 +260,61 @@
     EXPECT_TRUE(m_lease.isValid());
 }
 
+// Another writer leaves an odd entry. VMs that read the list ended again and again, or stopped
+// following it, in systems like this one.
+TEST_F(RegistryReaderTest, OddEntriesNameNoReplicaAndTheOthersHold)
+{
+    constexpr std::size_t Depth = 20'000;
+    const auto entry = [](const std::string &address, const std::string &slots,
+                          const std::string &sequence) {
+        return absl::StrCat(R"({"service":"s","addr":")", address,
+                            R"(","zone":"z","state":"ready","slots":)", slots, R"(,"seq":)",
+                            sequence, "}");
+    };
+    const std::string odd[] = {
+        std::string(Depth, '[') + std::string(Depth, ']'),
+        R"({"service":)" + std::string(Depth, '[') + std::string(Depth, ']') + "}",
+        std::string(Depth, '{'),
+        entry("10.0.0.9:65536", "4", "1"),
+        entry("10.0.0.9:-1", "4", "1"),
+        entry("10.0.0.9:99999999999999999999", "4", "1"),
+        entry("10.0.0.9:", "4", "1"),
+        entry("10.0.0.999:80", "4", "1"),
+        entry("10.0.0.9:80", "9223372036854775807", "1"),
+        entry("10.0.0.9:80", "1e999", "1"),
+        entry("10.0.0.9:80", "-4", "1"),
+        entry("10.0.0.9:80", "4", "123456789012345678901234567890"),
+        entry("10.0.0.9:80", "4", R"({"a":1})"),
+        std::string("\xff\x00\xfe", 3),
+        "",
+        "null",
+        std::string(60'000, '1'),
+    };
+    int sequence = 1;
+    for (const std::string &value : odd) {
+        SCOPED_TRACE(value.substr(0, 80));
+        m_store.put(replicaRow("odd"), value);
+        m_store.put(replicaRow("a"), registration("ready", ++sequence));
+        m_timers.run(Milliseconds(1'900));
+        EXPECT_EQ(m_replicas.find(ReplicaId("odd")), nullptr);
+        EXPECT_TRUE(isUsable("a"));
+        EXPECT_FALSE(m_reader.copy().registrations.contains("odd"));
+    }
+    {
+        SCOPED_TRACE("a name that would end a header field");
+        m_store.put(replicaRow("x\r\nHold: 1"), registration("ready", 1));
+        m_timers.run(Milliseconds(1'900));
+        EXPECT_EQ(m_replicas.find(ReplicaId("x\r\nHold: 1")), nullptr);
+    }
+    {
+        SCOPED_TRACE("the list is still followed, also from its start");
+        m_store.put(replicaRow("odd"), odd[0]);
+        m_store.compact();
+        m_store.put(replicaRow("late"), registration("ready", 1));
+        m_timers.run(Seconds(3));
+        EXPECT_TRUE(isUsable("late"));
+        EXPECT_TRUE(isUsable("b"));
+    }
+}
+
 } // namespace boragepath::platform
