A VM that knows one version asks the others before a stream goes on there

Ruled out: lost records (the announced VMs have them), and a placement that does not keep to the version that was found.

Change: other VMs are asked also if only one version is known here, and that counts only if one has answered and none knows another. The registry counts as followed by the boot clock, and no stream is taken up at a VM that does not follow it.

Measured: AVmThatHasNotSeenTheNewVersionAssumesNoOther, AVmThatHearsNobody... and AVmThatWasSuspended... are new; the first passes for all seven VMs out of step. Price: a round trip for each stream that is taken up.

--- a/control/call_scheduler_streams.cpp
+++ b/control/call_scheduler_streams.cpp
@@ -39,8 +39,10 @@
     Call &call = m_calls[handle];
     call.streamOrigin = lookup.origin;
     call.originSource = lookup.source;
+    // A VM that doesn't follow the registry may take a replica for one of an earlier version.
     const bool usable = lookup.origin.has_value() && lookup.origin->service == call.service
-        && m_dependencies.streams.isCertain(*lookup.origin);
+        && m_dependencies.streams.isCertain(*lookup.origin)
+        && m_dependencies.replicas.isRegistryFollowed();
     if (!usable) {
         refuse(handle, CallRefusalReason::StreamVersionUnknown);
         return;
--- a/control/replica_table.cpp
+++ b/control/replica_table.cpp
@@ -169,16 +169,23 @@
     : m_clock(clock)
     , m_leaving(MaxLeavingReplicas)
     , m_registryReadAt(clock.now())
+    , m_registryReadAtBoot(clock.bootNow())
     , m_registryFollowedSince(clock.now())
 { }
 
 void ReplicaTable::noteRegistryRead()
 {
     const SteadyTime now = m_clock.now();
-    if (now > m_registryReadAt + MaxRegistryReadGap) {
+    if (!isRegistryFollowed()) {
         m_registryFollowedSince = now;
     }
     m_registryReadAt = now;
+    m_registryReadAtBoot = m_clock.bootNow();
+}
+
+bool ReplicaTable::isRegistryFollowed() const
+{
+    return m_clock.bootNow() <= m_registryReadAtBoot + MaxRegistryReadGap;
 }
 
 void ReplicaTable::replaceAll(const std::vector<ReplicaEntry> &entries,
@@ -306,12 +313,20 @@
     return version;
 }
 
+bool ReplicaTable::hasSeveralVersions(const PoolName &service) const
+{
+    const bool isKnown = std::any_of(m_replicas.begin(), m_replicas.end(), [&](const auto &item) {
+        return item.second.entry.service == service;
+    });
+    return isKnown && !presentVersion(service).has_value();
+}
+
 std::optional<SoftwareVersion> ReplicaTable::onlyVersion(const PoolName &service) const
 {
     const SteadyTime now = m_clock.now();
     const std::optional<SoftwareVersion> version = presentVersion(service);
-    const bool followed = now >= m_registryFollowedSince + MaxStreamLifetime
-        && now <= m_registryReadAt + MaxRegistryReadGap;
+    const bool followed =
+        now >= m_registryFollowedSince + MaxStreamLifetime && isRegistryFollowed();
     if (!version.has_value() || !followed) {
         return std::nullopt;
     }
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -170,6 +170,11 @@
 
     /** The registry has just been read, or has reported that nothing changed. */
     void noteRegistryRead();
+    /**
+     * The registry was read a short time ago, so that this VM knows which replicas there are. Time
+     * counts in which the machine was suspended.
+     */
+    bool isRegistryFollowed() const;
     /** Time since the registry was last read. */
     Duration registryAge() const { return m_clock.now() - m_registryReadAt; }
     /**
@@ -205,6 +210,8 @@
 
     /** The version of all replicas of a service that are known now; none if they differ. */
     std::optional<SoftwareVersion> presentVersion(const PoolName &service) const;
+    /** True if replicas of several versions of a service are known now. */
+    bool hasSeveralVersions(const PoolName &service) const;
     /**
      * The version of all replicas that a service has had for longer than any stream lasts; none if
      * there were several, or if the registry was not followed all that time.
@@ -229,6 +236,7 @@
     /** Those that have said that they leave; outlasts their registrations. */
     LruMap<ReplicaIncarnation, bool> m_leaving;
     SteadyTime m_registryReadAt;
+    BootTime m_registryReadAtBoot;
     /** Since then, no longer time has passed between two reads than MaxRegistryReadGap. */
     SteadyTime m_registryFollowedSince;
     /** When a replica was last taken out of the table, or got another version. */
--- a/control/stream_origins.cpp
+++ b/control/stream_origins.cpp
@@ -109,31 +109,35 @@
 void StreamOrigins::find(const AttemptId &firstAttempt, const PoolName &service, FindCallback done)
 {
     const OriginLookup lookup = findHere(firstAttempt, service);
-    if (lookup.origin.has_value()) {
+    if (lookup.source == OriginSource::Recorded) {
         done(lookup);
         return;
     }
-    askPeers(firstAttempt, service, std::move(done));
+    askPeers(firstAttempt, lookup, service, std::move(done));
 }
 
-void StreamOrigins::askPeers(const AttemptId &firstAttempt, const PoolName &service,
-                             FindCallback done)
+void StreamOrigins::askPeers(const AttemptId &firstAttempt, const OriginLookup &known,
+                             const PoolName &service, FindCallback done)
 {
     const std::vector<Endpoint> vms = m_vms.rankedFor(firstAttempt.value(), AskedVms);
     if (vms.empty()) {
-        done({});
+        done(known);
         return;
     }
     const std::int64_t id = m_nextId++;
-    m_lookups[id] = {
-        firstAttempt, service, {vms.begin(), vms.end()}, std::nullopt, std::move(done)};
+    PendingLookup &lookup = m_lookups[id];
+    lookup.firstAttempt = firstAttempt;
+    lookup.service = service;
+    lookup.awaited = {vms.begin(), vms.end()};
+    lookup.onlyVersion = known.origin;
+    lookup.done = std::move(done);
     for (const Endpoint &vm : vms) {
         m_send(vm, makeNote(peers::StreamOriginNoteKind::QUESTION, id, firstAttempt, service));
     }
     m_timers.after(AnswerTimeout, [this, id] {
         const auto found = m_lookups.find(id);
         if (found != m_lookups.end()) {
-            finish(id, found->second.onlyVersion);
+            finish(id, agreedVersion(found->second));
         }
     });
 }
@@ -160,6 +164,10 @@
     peers::StreamOriginNote note = makeNote(peers::StreamOriginNoteKind::ANSWER, question.id,
                                             firstAttempt, PoolName(question.pool));
     note.knowledge = knowledgeOf(lookup.source);
+    if (lookup.source == OriginSource::Unknown
+        && m_replicas.hasSeveralVersions(PoolName(question.pool))) {
+        note.knowledge = peers::OriginKnowledge::SEVERAL_VERSIONS;
+    }
     if (lookup.origin.has_value()) {
         note.pool = lookup.origin->service.value();
         note.version = lookup.origin->version.value();
@@ -176,6 +184,7 @@
     }
     PendingLookup &lookup = found->second;
     lookup.awaited.erase(from);
+    lookup.isAnswered = true;
     if (note.knowledge == peers::OriginKnowledge::RECORDED) {
         m_origins.put(lookup.firstAttempt) = originOf(note);
         finish(note.id, originOf(note));
@@ -183,13 +192,28 @@
     }
     // A record that another VM holds is better evidence, so all answers are awaited.
     if (note.knowledge == peers::OriginKnowledge::ONLY_VERSION) {
-        lookup.onlyVersion = originOf(note);
+        noteOnlyVersion(lookup, originOf(note));
+    }
+    if (note.knowledge == peers::OriginKnowledge::SEVERAL_VERSIONS) {
+        lookup.isContradicted = true;
     }
     if (lookup.awaited.empty()) {
-        finish(note.id, lookup.onlyVersion);
+        finish(note.id, agreedVersion(lookup));
     }
 }
 
+void StreamOrigins::noteOnlyVersion(PendingLookup &lookup, const StreamOrigin &origin)
+{
+    lookup.isContradicted = lookup.isContradicted
+        || (lookup.onlyVersion.has_value() && lookup.onlyVersion->version != origin.version);
+    lookup.onlyVersion = origin;
+}
+
+std::optional<StreamOrigin> StreamOrigins::agreedVersion(const PendingLookup &lookup)
+{
+    return lookup.isAnswered && !lookup.isContradicted ? lookup.onlyVersion : std::nullopt;
+}
+
 void StreamOrigins::finish(std::int64_t id, const std::optional<StreamOrigin> &origin)
 {
     const OriginLookup result{origin,
--- a/control/stream_origins.h
+++ b/control/stream_origins.h
@@ -56,7 +56,8 @@
  * these. No announcement is needed while a service has a single version.
  *
  * Messages may be lost and every VM may fail. Then the origin is unknown and the stream does not
- * go on; a wrong version is never assumed.
+ * go on; a wrong version is never assumed. A VM that knows a single version may be the one that has
+ * not yet seen another, so it asks, too.
  */
 class StreamOrigins
 {
@@ -87,14 +88,22 @@
         PoolName service;
         /** VMs that have not answered yet. */
         std::set<Endpoint> awaited;
-        /** The service's only version, as a VM said that has no record of the stream. */
+        /** The service's only version, as this VM or another one says without a record. */
         std::optional<StreamOrigin> onlyVersion;
+        /** VMs differ in the versions that they know. */
+        bool isContradicted = false;
+        /** Another VM has answered, so that this one is in touch. */
+        bool isAnswered = false;
         FindCallback done;
     };
 
     /** What this VM knows without asking others. */
     OriginLookup findHere(const AttemptId &firstAttempt, const PoolName &service) const;
-    void askPeers(const AttemptId &firstAttempt, const PoolName &service, FindCallback done);
+    void askPeers(const AttemptId &firstAttempt, const OriginLookup &known, const PoolName &service,
+                  FindCallback done);
+    /** The only version that all VMs know that have answered; nothing if they differ. */
+    static std::optional<StreamOrigin> agreedVersion(const PendingLookup &lookup);
+    static void noteOnlyVersion(PendingLookup &lookup, const StreamOrigin &origin);
     void answer(const Endpoint &to, const peers::StreamOriginNote &question);
     void handleAnswer(const Endpoint &from, const peers::StreamOriginNote &note);
     /** Ends a lookup with what the other VMs have answered. */
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -144,14 +144,16 @@
 int _kOriginKnowledgeValues[] = {
   OriginKnowledge::UNKNOWN,
   OriginKnowledge::RECORDED,
-  OriginKnowledge::ONLY_VERSION
+  OriginKnowledge::ONLY_VERSION,
+  OriginKnowledge::SEVERAL_VERSIONS
 };
 const char* _kOriginKnowledgeNames[] = {
   "UNKNOWN",
   "RECORDED",
-  "ONLY_VERSION"
+  "ONLY_VERSION",
+  "SEVERAL_VERSIONS"
 };
-const std::map<int, const char*> _OriginKnowledge_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kOriginKnowledgeValues, _kOriginKnowledgeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _OriginKnowledge_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kOriginKnowledgeValues, _kOriginKnowledgeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const OriginKnowledge::type& val) {
   std::map<int, const char*>::const_iterator it = _OriginKnowledge_VALUES_TO_NAMES.find(val);
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -83,7 +83,8 @@
   enum type {
     UNKNOWN = 0,
     RECORDED = 1,
-    ONLY_VERSION = 2
+    ONLY_VERSION = 2,
+    SEVERAL_VERSIONS = 3
   };
 };
 
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -185,6 +185,8 @@
     RECORDED = 1,
     // It has no record, but the service has had no other version for longer than a stream lasts.
     ONLY_VERSION = 2,
+    // It has no record, and the service has replicas of several versions.
+    SEVERAL_VERSIONS = 3,
 }
 
 // Which software version began a stream that its caller may take up at another VM.
--- a/tests/control/stream_origins_test.cpp
+++ b/tests/control/stream_origins_test.cpp
@@ -238,6 +238,58 @@
     EXPECT_EQ(fleet.find(1, "a"), "v1.2");
 }
 
+/**
+ * During a release a VM is cut off from the store, or stands still, while a replica of the new
+ * version joins. Streams that begin there through other VMs are taken up at this one.
+ */
+TEST(StreamOriginsTest, AVmThatHasNotSeenTheNewVersionAssumesNoOther)
+{
+    for (std::size_t outOfStep = 1; outOfStep < 8; ++outOfStep) {
+        SCOPED_TRACE(outOfStep);
+        OriginFleet fleet(8);
+        fleet.registerEverywhere(Old);
+        fleet.timers.run(LongTime);
+        for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+            if (vm != outOfStep) {
+                fleet.vms[vm]->replicas.put(New);
+            }
+        }
+        fleet.begin(0, "a", New);
+        EXPECT_EQ(fleet.find(outOfStep, "a"), "v1.2");
+        EXPECT_EQ(fleet.find(outOfStep, "begun-before"), "") << "the others know two versions";
+    }
+}
+
+TEST(StreamOriginsTest, AVmThatHearsNobodyAssumesNoVersion)
+{
+    OriginFleet fleet(4);
+    fleet.registerEverywhere(Old);
+    fleet.timers.run(LongTime);
+    EXPECT_EQ(fleet.find(1, "a"), "v1");
+    fleet.unreachable = {0, 2, 3};
+    EXPECT_EQ(fleet.find(1, "a"), "");
+}
+
+/** The steady clock doesn't count the time in which a machine is suspended. */
+TEST(StreamOriginsTest, AVmThatWasSuspendedDoesNotFollowTheRegistry)
+{
+    ManualClock clock;
+    ReplicaTable replicas(clock);
+    replicas.put(Old);
+    for (int read = 0; read < 30; ++read) {
+        replicas.noteRegistryRead();
+        clock.advance(RegistryReadInterval);
+    }
+    EXPECT_TRUE(replicas.isRegistryFollowed());
+    EXPECT_TRUE(replicas.onlyVersion(Service).has_value());
+    clock.suspend(Seconds(5));
+    EXPECT_FALSE(replicas.isRegistryFollowed());
+    EXPECT_FALSE(replicas.onlyVersion(Service).has_value());
+    replicas.noteRegistryRead();
+    EXPECT_TRUE(replicas.isRegistryFollowed());
+    EXPECT_FALSE(replicas.onlyVersion(Service).has_value()) << "it may have missed a version";
+}
+
 TEST(StreamOriginsTest, AReplicaThatRestartedAtAnotherVersionUnderItsIdLeavesTheOriginUncertain)
 {
     OriginFleet fleet(2);
