Take a response without an id for no request but a connection's first

A faulty replica had refused an answered request once more, without an id, when the next request was on the connection.

Cause: a refusal without an id counted as that of the present request. Ruled out: bytes that were there before the connection was used again, which are noticed, and a wrong decision to retry.

Change: such a response belongs to a request only if it is the first on its connection; on others it is skipped, as one with another id is, and the answer that follows is delivered.

ALateRefusalIsNotTakenForTheNextRequestsOnTheConnection fails without the change.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -380,7 +380,7 @@
         if (!co_await connection.readHead(response, silenceDeadline(progress))) {
             co_return false;
         }
-        head = progress.codec.readHead(response);
+        head = progress.codec.readHead(response, connection.requestsSent() == 1);
         if (head.replicaLeaves && !head.wrongReplica) {
             noteReplicaLeaving(progress);
         }
--- a/backends/call_forwarder.h
+++ b/backends/call_forwarder.h
@@ -54,7 +54,8 @@
     std::function<std::string(const CallDispatch &dispatch, Milliseconds timeLeft,
                               std::size_t bodyBytes, std::optional<std::int64_t> resumeAfter)>
         requestHead;
-    std::function<ReplicaResponseHead(const HttpResponse &response)> readHead;
+    /** @p isFirst: no request was sent on the connection before this one. */
+    std::function<ReplicaResponseHead(const HttpResponse &response, bool isFirst)> readHead;
 };
 
 /** Sends the response of one call to its caller. */
--- a/backends/replica_connection.cpp
+++ b/backends/replica_connection.cpp
@@ -90,6 +90,7 @@
         buffers.push_back(asio::buffer(*part));
     }
     beast::error_code error;
+    m_requestsSent += 1;
     m_state->stream.expires_at(until);
     co_await asio::async_write(m_state->stream, buffers, redirect_error(use_awaitable, error));
     noteError(error);
--- a/backends/replica_connection.h
+++ b/backends/replica_connection.h
@@ -38,6 +38,8 @@
     boost::asio::awaitable<bool> readHead(HttpResponse &head, SteadyTime until);
     /** Appends the next part of the body; false on failure. responseComplete() marks its end. */
     boost::asio::awaitable<bool> readSome(std::string &body, SteadyTime until);
+    /** Requests that have been sent on the connection, the present one included. */
+    int requestsSent() const { return m_requestsSent; }
     /** The whole response has arrived. */
     bool responseComplete() const;
     /** The connection can be reused: no bytes are left over, and the server keeps it open. */
@@ -58,6 +60,7 @@
 
     const Clock &m_clock;
     std::unique_ptr<State> m_state;
+    int m_requestsSent = 0;
     bool m_unusable = false;
     bool m_brokenByServer = false;
 };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -290,7 +290,7 @@
         HttpResponse response;
         response.status = status;
         response.fields = std::move(fields);
-        return codec.readHead(response);
+        return codec.readHead(response, true);
     };
     EXPECT_TRUE(read(200, {{"Attempt-Id", "id1"}, {"Replica-Seal", "s"}}).hasSeal);
     EXPECT_FALSE(read(200, {{"Attempt-Id", "id1"}}).hasSeal);
--- a/tests/platform/limit_header_test.cpp
+++ b/tests/platform/limit_header_test.cpp
@@ -17,7 +17,7 @@
     for (const std::string &value : values) {
         response.fields.push_back({"server-limit", value});
     }
-    return replicaCodec(HttpRequest(), AttemptId("call-1")).readHead(response).limit;
+    return replicaCodec(HttpRequest(), AttemptId("call-1")).readHead(response, true).limit;
 }
 
 } // namespace
--- a/tests/platform/load_header_test.cpp
+++ b/tests/platform/load_header_test.cpp
@@ -13,7 +13,7 @@
     HttpResponse response;
     response.status = 200;
     response.fields.push_back({"replica-load", value});
-    return replicaCodec(HttpRequest(), AttemptId("call-1")).readHead(response).load;
+    return replicaCodec(HttpRequest(), AttemptId("call-1")).readHead(response, true).load;
 }
 
 } // namespace
--- a/tests/platform/session_test.cpp
+++ b/tests/platform/session_test.cpp
@@ -94,6 +94,40 @@
     }
 }
 
+// A faulty replica refuses a request once more that it has answered, or writes an earlier refusal
+// again. A request that was running was taken for refused, and ran at a second replica.
+TEST_F(Session, ALateRefusalIsNotTakenForTheNextRequestsOnTheConnection)
+{
+    const std::string lateResponses[] = {
+        "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Misdirected\r\nReplica-Id: i-9\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nwrong",
+        "HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n",
+    };
+    configure();
+    for (const std::string &late : lateResponses) {
+        SCOPED_TRACE(late);
+        std::size_t runs = 0;
+        // Each second request comes on the connection of the one before.
+        addReplica([&](const std::string &head, const std::string &) {
+            runs += 1;
+            return ReplicaScript{(runs % 2 == 0 ? late : "") + completeResponse(head, "right")};
+        });
+        const auto caller = connectCaller();
+        for (const char *path : {"/tool/x", "/look/x"}) {
+            runs = 0;
+            for (const char *id : {"a", "b", "c", "d"}) {
+                const std::string answer =
+                    exchangeOn(*caller, callRequest(path, id, "body"), "right");
+                EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 200")) << id;
+            }
+            EXPECT_EQ(runs, 4U);
+        }
+        m_replicas.remove(ReplicaId(absl::StrCat("i-", m_scripted.size())), m_clock.now());
+    }
+}
+
 TEST_F(Session, IdempotentCallRunsOnAtMostMaxAttemptsReplicas)
 {
     configure();
--- a/tests/support/platform_session.cpp
+++ b/tests/support/platform_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -104,6 +105,7 @@
     while (isRunning()) {
         const auto socket =
             std::make_shared<tcp::socket>(co_await m_acceptor.async_accept(asio::use_awaitable));
+        connections += 1;
         m_sockets.push_back(socket);
         asio::co_spawn(m_acceptor.get_executor(), serve(socket), asio::detached);
     }
@@ -139,6 +141,10 @@
         heads.push_back(head);
         bodies.push_back(body);
         const ReplicaScript script = m_behaviour(head, body);
+        if (script.delay.count() > 0) {
+            asio::steady_timer timer(m_acceptor.get_executor(), script.delay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         co_await asio::async_write(*socket, asio::buffer(script.answer), asio::use_awaitable);
         boost::system::error_code error;
         while (!script.endless.empty() && !error) {
@@ -150,6 +156,9 @@
             co_return;
         }
         if (script.close) {
+            if (script.reset) {
+                socket->set_option(asio::socket_base::linger(true, 0));
+            }
             socket->close();
             co_return;
         }
@@ -218,15 +227,24 @@
 }
 
 std::string PlatformSession::exchange(const std::string &bytes, const std::string &until)
+{
+    return exchangeOn(*connectCaller(), bytes, until);
+}
+
+std::shared_ptr<tcp::socket> PlatformSession::connectCaller()
+{
+    auto socket = std::make_shared<tcp::socket>(m_context);
+    socket->connect({asio::ip::make_address(FrontEndpoint.address), FrontEndpoint.port});
+    return socket;
+}
+
+std::string PlatformSession::exchangeOn(tcp::socket &socket, const std::string &bytes,
+                                        const std::string &until)
 {
     std::string answer;
     asio::co_spawn(
         m_context,
         [&]() -> asio::awaitable<void> {
-            tcp::socket socket(m_context);
-            co_await socket.async_connect(
-                {asio::ip::make_address(FrontEndpoint.address), FrontEndpoint.port},
-                asio::use_awaitable);
             co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
             std::array<char, 4096> received{};
             std::size_t searched = 0;
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -32,6 +32,10 @@
     bool close = false;
     /** The replica's process ends after them: all its connections break, and nobody listens. */
     bool end = false;
+    /** Time until the answer. */
+    Milliseconds delay{0};
+    /** With close: the connection is reset. */
+    bool reset = false;
     /** Sent again and again after them, until the connection is closed. */
     std::string endless = "";
 };
@@ -67,6 +71,8 @@
 
     std::vector<std::string> heads;
     std::vector<std::string> bodies;
+    /** Connections that have been accepted. */
+    int connections = 0;
 
     /** False once its process has ended. */
     bool isRunning() const { return m_acceptor.is_open(); }
@@ -96,6 +102,11 @@
                                 std::int64_t slots = 4);
     /** Sends bytes on a new connection and reads until @p until arrives or the VM closes it. */
     std::string exchange(const std::string &bytes, const std::string &until);
+    /** Opens a connection of a caller. */
+    std::shared_ptr<boost::asio::ip::tcp::socket> connectCaller();
+    /** Sends bytes on a connection and reads until @p until arrives or the VM closes it. */
+    std::string exchangeOn(boost::asio::ip::tcp::socket &socket, const std::string &bytes,
+                           const std::string &until);
     /** Sends bytes on @p count new connections at the same time, and reads from each until the VM
      * closes it, without keeping what it reads. */
     void exchangeAtOnce(int count, const std::function<std::string(int)> &bytesOf);
