A caller that leaves while its turn is recorded cuts no other call

Cause: the connection to the replica goes back to the pool after the answer, and the task that closes it when the caller leaves was set until the turn had been recorded. Another call had the connection by then. Ruled out: a connection that the replica closes.

Change: the task is removed before the connection is given back.

Measured: ACallerThatLeavesWhileItsTurnIsRecordedCutsNoOtherCall fails without the change, where the second call on the connection gets no 200.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -313,6 +313,7 @@
     const bool hasPermit =
         !dispatch.sendBefore.has_value() || progress.sentAt < *dispatch.sendBefore;
     if (!hasPermit || !progress.hold(0)) {
+        progress.channel.onDisconnect(nullptr);
         m_replicaConnections.returnIdle(dispatch.replica.endpoint, connection,
                                         DefaultKeepAliveTimeout);
         progress.observation.outcome = Outcome::NotSent;
@@ -361,6 +362,8 @@
         progress.observation.outcome = Outcome::Failed;
     }
     if (attemptResult == AttemptResult::Delivered && connection->reusable()) {
+        // The call goes on until its turn is recorded, while another may use the connection.
+        progress.channel.onDisconnect(nullptr);
         const Duration idle = reply.keepAliveTimeout.value_or(DefaultKeepAliveTimeout);
         m_replicaConnections.returnIdle(dispatch.replica.endpoint, connection,
                                         std::max<Duration>(idle - KeepAliveMargin, idle / 2));
--- a/tests/platform/session_test.cpp
+++ b/tests/platform/session_test.cpp
@@ -128,6 +128,29 @@
     }
 }
 
+// A caller leaves after the last event of a turn that is stored. Its connection to the replica,
+// which another call used by then, was closed, and that call got 502.
+TEST_F(Session, ACallerThatLeavesWhileItsTurnIsRecordedCutsNoOtherCall)
+{
+    constexpr Milliseconds LongEnough{100};
+    configure();
+    std::shared_ptr<boost::asio::ip::tcp::socket> leaving;
+    ScriptedReplica &replica = addReplica([&](const std::string &head, const std::string &) {
+        if (head.find("/turn/") != std::string::npos) {
+            m_store.faults().unavailable = true;
+            return ReplicaScript{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+        }
+        leaving->close();
+        return ReplicaScript{.answer = completeResponse(head, "served"), .delay = LongEnough};
+    });
+    leaving = connectCaller();
+    const std::string turn = exchangeOn(*leaving, callRequest("/turn/x", "a", "input"), "data: d1");
+    EXPECT_THAT(turn, testing::HasSubstr("data: d1"));
+    EXPECT_THAT(exchange(callRequest("/tool/x", "b", "body"), "served"),
+                testing::StartsWith("HTTP/1.1 200"));
+    EXPECT_EQ(replica.connections, 1) << "the second call did not use the connection again";
+}
+
 TEST_F(Session, IdempotentCallRunsOnAtMostMaxAttemptsReplicas)
 {
     configure();
