Write a long conversation to the store in several calls

Cause: the record of a turn was written in one call. The store takes 1 MB and 100 rows, refused it, and the same call was repeated for ever. A slow store was ruled out: the refusal comes at once.

Change: twelve rows a call, the last ones first; the first row comes at the end and says how many there are, so that a part of a record counts as absent. Rows of expired turns are removed 90 at a time. The store in memory has the limits of the platform's. In the product's own interface a row could be larger than what table services take, too: inputs and answers of over 512 KB as stored are refused as not run, or fail.

--- a/backends/backend_client.cpp
+++ b/backends/backend_client.cpp
@@ -1,5 +1,6 @@
 #include "backends/backend_client.h"
 
+#include "control/records.h"
 #include "core/json_access.h"
 #include "net/event_stream_parser.h"
 #include "net/http_client.h"
@@ -23,8 +24,7 @@
 constexpr unsigned HttpUnavailable = 503;
 /** Servers report the programs that they have not used for this long. */
 constexpr int IdleProgramSeconds = 20;
-/** Longest answer of a model or a service. */
-constexpr std::size_t MaxAnswerBytes = 4UL * 1024 * 1024;
+constexpr const char *AnswerTooLong = "the answer is too long";
 /** Longest body of an error status, which only the log and the caller's error text show. */
 constexpr std::size_t MaxErrorBodyBytes = 16UL * 1024;
 
@@ -82,6 +82,16 @@
     return status == HttpTooManyRequests || status == HttpUnavailable;
 }
 
+/** An answer that no row can hold is not stored, whether it is complete or not. */
+void dropAnswerIfTooLong(BackendOutcome &outcome)
+{
+    if (serializedSize(outcome.answer) > MaxStoredTextBytes) {
+        outcome.answer.clear();
+        outcome.complete = false;
+        outcome.error = AnswerTooLong;
+    }
+}
+
 /** The state of one call while its response arrives. */
 struct StreamState
 {
@@ -94,9 +104,9 @@
     {
         const std::size_t answerBytes = outcome.answer.size() + rawBody.size();
         const bool isErrorTooLong = outcome.status != HttpOk && rawBody.size() > MaxErrorBodyBytes;
-        if (answerBytes > MaxAnswerBytes || splitter.incompleteBytes() > MaxEventBytes
+        if (answerBytes > MaxStoredTextBytes || splitter.incompleteBytes() > MaxEventBytes
             || isErrorTooLong) {
-            problem = "the answer is too long";
+            problem = AnswerTooLong;
         } else if (!held.resize(answerBytes + splitter.incompleteBytes())) {
             problem = "no room for the answer";
         }
@@ -191,6 +201,7 @@
     outcome.error = state.problem.empty() ? result.error : state.problem;
     outcome.complete = result.complete;
     if (!result.complete) {
+        dropAnswerIfTooLong(outcome);
         co_return outcome;
     }
     if (isRejected(outcome.status)) {
@@ -201,6 +212,9 @@
     }
     if (call.isService) {
         outcome.answer = std::move(state.rawBody);
+    }
+    dropAnswerIfTooLong(outcome);
+    if (call.isService) {
         co_return outcome;
     }
     if (outcome.status != HttpOk || !state.done) {
--- a/callers/call_parser.cpp
+++ b/callers/call_parser.cpp
@@ -1,6 +1,8 @@
 #include "callers/call_parser.h"
 
+#include "control/records.h"
 #include "core/hash.h"
+#include "core/json_access.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -161,6 +163,15 @@
     return std::nullopt;
 }
 
+/** The input is stored with the turn. */
+std::optional<Refusal> checkContentSize(const CallRequest &call)
+{
+    if (serializedSize(call.content) <= MaxStoredTextBytes) {
+        return std::nullopt;
+    }
+    return invalidField("body", absl::StrCat("must have ", MaxStoredTextBytes, " bytes at most"));
+}
+
 std::optional<Refusal> readMaxTokens(const json::object &body, CallRequest &call)
 {
     for (const char *field : {"max_tokens", "max_completion_tokens"}) {
@@ -244,6 +255,9 @@
     }
     parsed.stream = stream != nullptr && stream->get_bool();
     refusal = readMessages(body, call);
+    if (!refusal.has_value()) {
+        refusal = checkContentSize(call);
+    }
     if (!refusal.has_value()) {
         refusal = readMaxTokens(body, call);
     }
@@ -284,6 +298,9 @@
     call.pool = PoolName(name);
     call.path = slash == std::string::npos ? "/" : rest.substr(slash);
     call.content = request.body;
+    if (const std::optional<Refusal> tooLong = checkContentSize(call); tooLong.has_value()) {
+        return *tooLong;
+    }
     call.bodyHash = hashOf(absl::StrCat(name, "\n", call.path, "\n", call.content, "\n", call.last,
                                         "\n", call.idempotent, "\n", call.idempotencyKey));
     return parsed;
--- a/control/records.h
+++ b/control/records.h
@@ -101,6 +101,12 @@
     std::int64_t completionTokens = 0;
 };
 
+/**
+ * Most bytes that the input of a call, and its answer, may take in the turn's row, with escapes.
+ * Table services take requests of 1.5 MB, in which the row is encoded as Base64.
+ */
+inline constexpr std::size_t MaxStoredTextBytes = 524'288;
+
 /** The durable record of one finished call. */
 struct TurnRecord
 {
--- a/control/turn_archive.cpp
+++ b/control/turn_archive.cpp
@@ -14,6 +14,10 @@
  * of writes at the store.
  */
 constexpr Milliseconds PruneInterval{100};
+/** Rows of one call: with their encoding well below the 1 MB that the store takes. */
+constexpr std::size_t MaxRowsPerWrite = 12;
+/** Below the 100 entries of a call. */
+constexpr std::size_t MaxRemovalsPerCall = 90;
 
 std::size_t textBytes(const ConversationSnapshotPtr &snapshot)
 {
@@ -76,7 +80,7 @@
                 return;
             }
             if (result.answer == StoreAnswer::Done) {
-                const auto record = decodeTurnRecord(joinRows(result.rows));
+                const auto record = decodeTurnRecord(joinRows(turn, result.rows));
                 if (!record.has_value()) {
                     LogLine("turn").add("turn", turn.value()).add("outcome", "unreadable").error();
                 }
@@ -169,32 +173,50 @@
                          std::string text, Duration turnRetention, std::function<void()> done)
 {
     m_pending += 1;
-    PlannedTurn planned = planTurn(turn, previous, std::move(text), unixMillis(m_clock.wallNow()));
-    write(std::make_shared<PendingRecord>(
-        PendingRecord{turn, std::move(planned), turnRetention, std::move(done)}));
+    const PlannedTurn planned =
+        planTurn(turn, previous, std::move(text), unixMillis(m_clock.wallNow()));
+    PendingRecord pendingRecord{turn,
+                                encodeTurnRecord(planned.record),
+                                planned.snapshot,
+                                isSegment(planned.record),
+                                turnRetention,
+                                std::move(done)};
+    pendingRecord.rowsLeft = turnRowCount(pendingRecord.text.size());
+    write(std::make_shared<PendingRecord>(std::move(pendingRecord)));
 }
 
 void TurnArchive::write(const std::shared_ptr<PendingRecord> &pendingRecord)
 {
+    const std::size_t end = pendingRecord->rowsLeft;
+    const std::size_t first = end > MaxRowsPerWrite ? end - MaxRowsPerWrite : 0;
     RowTransaction transaction;
-    transaction.puts =
-        turnRows(pendingRecord->turn, encodeTurnRecord(pendingRecord->planned.record));
-    const std::size_t rows = transaction.puts.size();
-    m_store.transact(
-        std::move(transaction), [this, pendingRecord, rows](const TransactionResult &result) {
-            if (result.answer != StoreAnswer::Done) {
-                // The retry writes the same rows, so it does not matter whether this
-                // call took effect.
-                const Duration pause = jitteredBackoff(pendingRecord->failures, m_random);
-                pendingRecord->failures += 1;
-                m_timers.after(pause, [this, pendingRecord] { write(pendingRecord); });
-                return;
-            }
-            m_pending -= 1;
-            addToCache(pendingRecord->turn, pendingRecord->planned.snapshot);
-            scheduleExpiry(*pendingRecord, rows);
-            pendingRecord->done();
-        });
+    transaction.puts = turnRows(pendingRecord->turn, pendingRecord->text, first, end);
+    m_store.transact(std::move(transaction),
+                     [this, pendingRecord, first](const TransactionResult &result) {
+                         onWritten(pendingRecord, first, result);
+                     });
+}
+
+void TurnArchive::onWritten(const std::shared_ptr<PendingRecord> &pendingRecord,
+                            std::size_t firstRow, const TransactionResult &result)
+{
+    if (result.answer != StoreAnswer::Done) {
+        // The retry writes the same rows, so it does not matter whether this call took effect.
+        const Duration pause = jitteredBackoff(pendingRecord->failures, m_random);
+        pendingRecord->failures += 1;
+        m_timers.after(pause, [this, pendingRecord] { write(pendingRecord); });
+        return;
+    }
+    pendingRecord->failures = 0;
+    pendingRecord->rowsLeft = firstRow;
+    if (firstRow > 0) {
+        write(pendingRecord);
+        return;
+    }
+    m_pending -= 1;
+    addToCache(pendingRecord->turn, pendingRecord->snapshot);
+    scheduleExpiry(*pendingRecord);
+    pendingRecord->done();
 }
 
 void TurnArchive::addToCache(const AttemptId &turn, const ConversationSnapshotPtr &snapshot)
@@ -213,15 +235,14 @@
     }
 }
 
-void TurnArchive::scheduleExpiry(const PendingRecord &pendingRecord, std::size_t rows)
+void TurnArchive::scheduleExpiry(const PendingRecord &pendingRecord)
 {
     // Other turns may refer to a segment until it reaches the maximum age. It must be kept as long
     // as the last of them.
-    const Duration reusePeriod = isSegment(pendingRecord.planned.record)
-        ? Milliseconds(MaxSegmentAgeMillis)
-        : Milliseconds(0);
+    const Duration reusePeriod =
+        pendingRecord.isSegment ? Milliseconds(MaxSegmentAgeMillis) : Milliseconds(0);
     const SteadyTime due = m_clock.now() + pendingRecord.turnRetention + reusePeriod + ExpiryMargin;
-    m_expiries.emplace(due, Expiry{pendingRecord.turn, rows});
+    m_expiries.emplace(due, Expiry{pendingRecord.turn, turnRowCount(pendingRecord.text.size())});
     schedulePrune();
 }
 
@@ -248,10 +269,15 @@
     }
     const Expiry expiry = m_expiries.begin()->second;
     m_expiries.erase(m_expiries.begin());
-    RowTransaction transaction;
-    transaction.removals = turnRowNames(expiry.turn, expiry.rows);
-    // If this call fails, the row sweeper removes the rows later.
-    m_store.transact(std::move(transaction), [](const TransactionResult &) {});
+    const std::vector<RowName> names = turnRowNames(expiry.turn, expiry.rows);
+    for (std::size_t first = 0; first < names.size(); first += MaxRemovalsPerCall) {
+        const std::size_t end = std::min(names.size(), first + MaxRemovalsPerCall);
+        RowTransaction transaction;
+        transaction.removals.assign(names.begin() + static_cast<std::ptrdiff_t>(first),
+                                    names.begin() + static_cast<std::ptrdiff_t>(end));
+        // If this call fails, the row sweeper removes the rows later.
+        m_store.transact(std::move(transaction), [](const TransactionResult &) {});
+    }
 }
 
 } // namespace boragepath
--- a/control/turn_archive.h
+++ b/control/turn_archive.h
@@ -22,7 +22,9 @@
 /**
  * Stores the conversation up to each turn, so that any VM can continue from it.
  *
- * A turn's record is written once, under the turn's own id, and never changes.
+ * A turn's record is written once, under the turn's own id, and never changes. One that the
+ * store doesn't take in one call is written in several; its first row comes last, so that a part of
+ * it is never taken for the whole.
  * Repeating the write after a call without an answer is therefore harmless, and
  * records that this VM wrote or read can be cached, up to a limit in bytes. The
  * conversation is spread over the records of a few turns (see planTurn), which are
@@ -58,9 +60,14 @@
     struct PendingRecord
     {
         AttemptId turn;
-        PlannedTurn planned;
+        /** The encoded record. */
+        std::string text;
+        ConversationSnapshotPtr snapshot;
+        bool isSegment = false;
         Duration turnRetention;
         std::function<void()> done;
+        /** Rows before this one are still to be written. */
+        std::size_t rowsLeft = 0;
         int failures = 0;
     };
     /** The rows of a turn, to be removed once it has expired. */
@@ -91,9 +98,12 @@
     void onSegmentRead(const std::shared_ptr<Search> &search, std::size_t index, TurnLookup lookup,
                        const std::optional<ArchivedTurn> &record);
     void assemble(Search &search);
+    /** Writes the rows that are left, the last ones first. */
     void write(const std::shared_ptr<PendingRecord> &pendingRecord);
+    void onWritten(const std::shared_ptr<PendingRecord> &pendingRecord, std::size_t firstRow,
+                   const TransactionResult &result);
     void addToCache(const AttemptId &turn, const ConversationSnapshotPtr &snapshot);
-    void scheduleExpiry(const PendingRecord &pendingRecord, std::size_t rows);
+    void scheduleExpiry(const PendingRecord &pendingRecord);
     void schedulePrune();
     void pruneExpiredTurn();
 
--- a/control/turn_record.cpp
+++ b/control/turn_record.cpp
@@ -2,6 +2,9 @@
 
 #include "core/json_access.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
+
 #include <algorithm>
 
 namespace boragepath {
@@ -15,6 +18,34 @@
 /** With more segments, reading them would cost more than writing the whole conversation again. */
 constexpr std::size_t MaxSegments = 8;
 
+constexpr const char *RowCountField = "rows";
+/** The count is written with this many digits, so that it doesn't change the record's length. */
+constexpr std::size_t RowCountDigits = 4;
+
+std::string headOf(const ArchivedTurn &record, std::optional<std::size_t> rowCount)
+{
+    json::array segments;
+    for (const SegmentRef &segment : record.segments) {
+        segments.push_back(json::array{segment.turn.value(), segment.recordedAtMillis});
+    }
+    json::object head{{"at", record.recordedAtMillis}, {"segments", std::move(segments)}};
+    if (rowCount.has_value()) {
+        head[RowCountField] = absl::StrFormat("%0*d", RowCountDigits, *rowCount);
+    }
+    return json::serialize(head) + '\n';
+}
+
+/** True if the head says nothing of a number of rows, or @p text takes as many. */
+bool hasAllRows(const json::object &head, const std::string &text)
+{
+    if (!head.contains(RowCountField)) {
+        return true;
+    }
+    std::size_t count = 0;
+    return absl::SimpleAtoi(stringAt(head, RowCountField), &count)
+        && count == turnRowCount(text.size());
+}
+
 bool segmentsReusable(const ConversationSnapshotPtr &previous, std::int64_t nowMillis)
 {
     return previous != nullptr && previous->segments.size() < MaxSegments
@@ -54,12 +85,12 @@
 
 std::string encodeTurnRecord(const ArchivedTurn &record)
 {
-    json::array segments;
-    for (const SegmentRef &segment : record.segments) {
-        segments.push_back(json::array{segment.turn.value(), segment.recordedAtMillis});
+    const std::string head = headOf(record, std::nullopt);
+    if (turnRowCount(head.size() + record.tail.size()) == 1) {
+        return head + record.tail;
     }
-    const json::object head{{"at", record.recordedAtMillis}, {"segments", std::move(segments)}};
-    return json::serialize(head) + '\n' + record.tail;
+    const std::size_t size = headOf(record, 0).size() + record.tail.size();
+    return headOf(record, turnRowCount(size)) + record.tail;
 }
 
 std::optional<ArchivedTurn> decodeTurnRecord(const std::string &text)
@@ -70,7 +101,7 @@
     }
     json::error_code error;
     const json::value head = json::parse(std::string_view(text).substr(0, headEnd), error);
-    if (error || !head.is_object()) {
+    if (error || !head.is_object() || !hasAllRows(head.get_object(), text)) {
         return std::nullopt;
     }
     ArchivedTurn record;
--- a/control/turn_record.h
+++ b/control/turn_record.h
@@ -68,8 +68,9 @@
 /** True if later turns may refer to the turn of this record as a segment. */
 bool isSegment(const ArchivedTurn &record);
 
+/** A record that takes several rows says of how many it consists. */
 std::string encodeTurnRecord(const ArchivedTurn &record);
-/** Empty if @p text is not a valid record. */
+/** Empty if @p text is not a valid record, or not all of it. */
 std::optional<ArchivedTurn> decodeTurnRecord(const std::string &text);
 
 /** How long after its recording new turns may refer to a turn as a segment. */
--- a/control/turn_rows.cpp
+++ b/control/turn_rows.cpp
@@ -34,14 +34,20 @@
     return partitionName(hashOf(id) % StorePartitionCount);
 }
 
-std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &record)
+std::size_t turnRowCount(std::size_t recordBytes)
+{
+    return std::max<std::size_t>(1, (recordBytes + MaxTurnRowBytes - 1) / MaxTurnRowBytes);
+}
+
+std::vector<RowPut> turnRows(const AttemptId &turn, const std::string &record, std::size_t first,
+                             std::size_t end)
 {
     std::vector<RowPut> rows;
-    std::size_t offset = 0;
-    do {
-        rows.push_back({turnRowName(turn, rows.size()), record.substr(offset, MaxTurnRowBytes)});
-        offset += MaxTurnRowBytes;
-    } while (offset < record.size());
+    const std::size_t count = turnRowCount(record.size());
+    for (std::size_t index = first; index < std::min(end, count); ++index) {
+        rows.push_back(
+            {turnRowName(turn, index), record.substr(index * MaxTurnRowBytes, MaxTurnRowBytes)});
+    }
     return rows;
 }
 
@@ -60,9 +66,12 @@
     return {TurnTable, partitionFor(turn.value()), turn.value() + "/", turn.value() + "0"};
 }
 
-std::string joinRows(const std::vector<StoreRow> &rows)
+std::string joinRows(const AttemptId &turn, const std::vector<StoreRow> &rows)
 {
     std::string text;
+    if (rows.empty() || rows.front().name != turnRowName(turn, 0)) {
+        return text;
+    }
     for (const StoreRow &row : rows) {
         text += row.value;
     }
--- a/core/json_access.cpp
+++ b/core/json_access.cpp
@@ -34,6 +34,11 @@
     return value != nullptr && value->is_bool() && value->get_bool();
 }
 
+std::size_t serializedSize(const std::string &text)
+{
+    return json::serialize(json::value(text)).size();
+}
+
 const json::object *objectAt(const json::object &object, const char *field)
 {
     const json::value *value = object.if_contains(field);
--- a/core/json_access.h
+++ b/core/json_access.h
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -17,6 +18,8 @@
 double numberAt(const boost::json::object &object, const char *field);
 /** True if the field is the boolean true; false if it is absent or anything else. */
 bool flagAt(const boost::json::object &object, const char *field);
+/** Length of a text as a JSON string, with quotes and escapes. */
+std::size_t serializedSize(const std::string &text);
 /** Value of an object field; null if the field is absent or not an object. */
 const boost::json::object *objectAt(const boost::json::object &object, const char *field);
 /** Value of an array field; an empty array if the field is absent or not an array. */
--- a/standin/row_table.cpp
+++ b/standin/row_table.cpp
@@ -2,9 +2,35 @@
 
 namespace boragepath {
 
+namespace {
+
+/** Limits of the users' platform for one transaction. */
+constexpr std::size_t MaxEntries = 100;
+constexpr std::size_t MaxBytes = 1'000'000;
+/** Values are sent as Base64. */
+constexpr std::size_t EncodedBytes = 4;
+constexpr std::size_t DecodedBytes = 3;
+
+bool isTooLarge(const RowTransaction &transaction)
+{
+    std::size_t bytes = 0;
+    for (const RowPut &put : transaction.puts) {
+        bytes += put.value.size() * EncodedBytes / DecodedBytes + put.name.key.size();
+    }
+    const std::size_t entries =
+        transaction.conditions.size() + transaction.puts.size() + transaction.removals.size();
+    return entries > MaxEntries || bytes > MaxBytes;
+}
+
+} // namespace
+
 TransactionResult RowTable::apply(const RowTransaction &transaction)
 {
     TransactionResult result;
+    if (isTooLarge(transaction)) {
+        result.answer = StoreAnswer::Unknown;
+        return result;
+    }
     result.answer = StoreAnswer::Done;
     for (const RowCondition &condition : transaction.conditions) {
         const auto found = m_rows.find(condition.name);
--- a/standin/row_table.h
+++ b/standin/row_table.h
@@ -13,7 +13,10 @@
 class RowTable
 {
 public:
-    /** Applies a transaction if all its conditions hold; otherwise returns a conflict. */
+    /**
+     * Applies a transaction if all its conditions hold; otherwise returns a conflict. One that is
+     * too large gets no answer that says what became of it.
+     */
     TransactionResult apply(const RowTransaction &transaction);
     /** Returns the rows of a range in key order. */
     std::vector<StoreRow> range(const RowRange &range) const;
--- a/tests/backends/endless_answer_test.cpp
+++ b/tests/backends/endless_answer_test.cpp
@@ -3,6 +3,7 @@
 // Guards against a VM that collects an answer until its memory is used up.
 
 #include "backends/backend_client.h"
+#include "control/records.h"
 #include "tests/support/endless_server.h"
 #include "tests/support/peak_memory.h"
 
@@ -80,6 +81,32 @@
     }
 }
 
+// A row with a longer answer is larger than what table services take in a request.
+TEST(EndlessBackendAnswer, AnAnswerThatNoRowCanHoldIsNotStored)
+{
+    const std::string lengths[] = {std::to_string(MaxStoredTextBytes),
+                                   std::to_string(MaxStoredTextBytes / 2)};
+    for (const std::string &length : lengths) {
+        asio::io_context context(1);
+        SystemClock clock;
+        ReceiveBudget received(ReceiveLimit);
+        const EndlessCase item{"quotes", true,
+                               "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n",
+                               std::string(16'384, '"')};
+        EndlessServer server(context, ServerEndpoint, item.head, item.bytes);
+        const auto run = [&]() -> asio::awaitable<void> {
+            const BackendOutcome outcome =
+                co_await runBackendCall(callFor(item), clock, nullptr, received);
+            EXPECT_FALSE(outcome.complete);
+            EXPECT_TRUE(outcome.sent);
+            EXPECT_TRUE(outcome.answer.empty());
+            context.stop();
+        };
+        asio::co_spawn(context, run(), asio::detached);
+        context.run();
+    }
+}
+
 // Programs that a server says it holds are a list of any length.
 TEST(EndlessBackendAnswer, AStatusWithoutEndCountsAsNoAnswer)
 {
--- a/tests/callers/call_parser_test.cpp
+++ b/tests/callers/call_parser_test.cpp
@@ -1,4 +1,5 @@
 #include "callers/call_parser.h"
+#include "control/records.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -55,6 +56,26 @@
     EXPECT_TRUE(call.idempotent);
 }
 
+// A turn's row with a longer input is larger than a request that table services take. The VM would
+// try to commit it without end, and everything after it would wait.
+TEST(CallParser, InputThatNoRowCanHoldIsRefusedAsNotRun)
+{
+    HttpRequest model = validRequest();
+    const auto bodyWith = [](const std::string &content) {
+        return R"({"model":"m","messages":[{"role":"user","content":")" + content + R"("}]})";
+    };
+    model.body = bodyWith(std::string(MaxStoredTextBytes - 1'000, 'x'));
+    EXPECT_TRUE(std::holds_alternative<ParsedCall>(parseModelCall(model)));
+    model.body = bodyWith(std::string(MaxStoredTextBytes, 'x'));
+    expectRefusal(model, "body");
+    HttpRequest service = validRequest();
+    service.target = "/v1/services/s/path";
+    service.body = std::string(MaxStoredTextBytes / 2, '"');
+    expectRefusal(service, "body");
+    service.body = std::string(MaxStoredTextBytes / 2 - 10, '"');
+    EXPECT_TRUE(std::holds_alternative<ParsedCall>(parseServiceCall(service)));
+}
+
 TEST(CallParser, UnreservedBodyFieldsArePassedToTheEngine)
 {
     HttpRequest request = validRequest();
--- a/tests/control/row_sweeper_test.cpp
+++ b/tests/control/row_sweeper_test.cpp
@@ -37,7 +37,7 @@
 
     void putTurn(const std::string &id)
     {
-        for (const RowPut &row : turnRows(AttemptId(id), std::string(120'000, 'x'))) {
+        for (const RowPut &row : turnRows(AttemptId(id), std::string(120'000, 'x'), 0, 3)) {
             store.put(row.name, row.value);
         }
     }
--- a/tests/control/turn_archive_test.cpp
+++ b/tests/control/turn_archive_test.cpp
@@ -93,6 +93,49 @@
     EXPECT_EQ(archives.find("turn").second.size(), 120'000U);
 }
 
+// The store takes 1 MB and 100 rows in a call. The record of a longer conversation was written in
+// one, was never stored, and the answer of its turn never ended.
+TEST(TurnArchive, RecordsAConversationThatIsLongerThanACallToTheStore)
+{
+    for (const std::size_t size : {1'000'000, 1'200'000, 5'000'000}) {
+        SCOPED_TRACE(size);
+        TwoArchives archives;
+        archives.store.faults() = {0.1, 0.1, 0, false};
+        const std::string text(size, 'x');
+        ASSERT_TRUE(archives.record("turn", text, Seconds(100)));
+        archives.store.faults() = {};
+        const auto found = archives.find("turn");
+        EXPECT_EQ(found.first, TurnLookup::Found);
+        EXPECT_TRUE(found.second == text);
+        archives.timers.run(Seconds(150));
+        EXPECT_TRUE(archives.store.rows().empty()) << archives.store.rows().size();
+    }
+}
+
+// A VM is killed while it writes a record in several calls, or the rows are removed in several.
+TEST(TurnArchive, APartOfARecordIsNotTakenForTheWhole)
+{
+    constexpr std::size_t Size = 1'200'000;
+    TwoArchives archives;
+    bool recorded = false;
+    archives.writer.record(AttemptId("turn"), nullptr, std::string(Size, 'x'), Seconds(60),
+                           [&] { recorded = true; });
+    while (!recorded) {
+        archives.timers.run(Milliseconds(2));
+        if (!recorded) {
+            EXPECT_EQ(archives.find("turn").first, TurnLookup::Absent);
+        }
+    }
+    const std::vector<RowName> names = turnRowNames(AttemptId("turn"), turnRowCount(Size));
+    const std::map<RowName, StoreRow> rows = archives.store.rows();
+    for (const RowName &missing : names) {
+        archives.store.remove(missing);
+        EXPECT_EQ(archives.find("turn").first, TurnLookup::Absent) << missing.key;
+        archives.store.put(missing, rows.at(missing).value);
+    }
+    EXPECT_EQ(archives.find("turn").first, TurnLookup::Found);
+}
+
 TEST(TurnArchive, RemovesTurnsAfterTheirRetention)
 {
     TwoArchives archives;
@@ -266,11 +309,11 @@
         c = static_cast<char>(random());
     }
     std::vector<StoreRow> rows;
-    for (const RowPut &put : turnRows(AttemptId("turn"), text)) {
+    for (const RowPut &put : turnRows(AttemptId("turn"), text, 0, turnRowCount(text.size()))) {
         RC_ASSERT(put.value.size() <= 65'536U);
         rows.push_back({put.name, put.value, RowRevision(1), false});
     }
-    RC_ASSERT(joinRows(rows) == text);
+    RC_ASSERT(joinRows(AttemptId("turn"), rows) == text);
 }
 
 } // namespace boragepath
