--- a/tests/control/stream_outputs_test.cpp
+++ b/tests/control/stream_outputs_test.cpp
@@ -202,7 +202,7 @@
         note.kind = peers::StreamOutputNoteKind::ANNOUNCEMENT;
         note.firstAttempt = absl::StrCat("stream-", number % 40);
         note.attempt = note.firstAttempt;
-        note.offset = number / 40 * 20'000;
+        note.offset = std::int64_t{number} / 40 * 20'000;
         note.bytes = std::string(20'000, 'x');
         fleet.vms[0]->outputs.receive({}, note);
         ASSERT_LE(fleet.vms[0]->outputs.rememberedBytes(), MaxBytes);
