Name witnesses only while the rows have all loans

Found in the reading of the diff: before a lender has named witnesses it lends without them. If it named them while the rows lacked such a loan, they would say that it has lent nothing, and a successor could give the tokens out again.

Change: the list of witnesses is written only while no loan is unsettled.

--- a/control/outage/budget_lenders.cpp
+++ b/control/outage/budget_lenders.cpp
@@ -398,13 +398,17 @@
 
 void BudgetLenders::maintainOwnTenures()
 {
-    if (!m_loans.areUnsettled()) {
+    const bool areLoansSettled = !m_loans.areUnsettled();
+    if (areLoansSettled) {
         m_rights.noteSettled();
     }
     if (m_ownTenures.empty()) {
         return;
     }
-    m_rights.maintain({lenderRow(), m_tableVersion});
+    // The witnesses of a new list would not know of loans that were made before it.
+    if (areLoansSettled) {
+        m_rights.maintain({lenderRow(), m_tableVersion});
+    }
     TableChange change{m_table, {}, {}, {}};
     for (const auto &[partition, tenure] : m_ownTenures) {
         if (tenure.previous == PreviousTenure::Lost && isSettled(tenure)) {
--- a/control/outage/lending_rights.h
+++ b/control/outage/lending_rights.h
@@ -47,7 +47,8 @@
     /** The rows contain all that this VM has lent. */
     void noteSettled();
     /**
-     * Writes a list of witnesses if there is none, or if some of them have ended.
+     * Writes a list of witnesses if there is none, or if some of them have ended. To be called only
+     * while the rows contain all that this VM has lent.
      *
      * @param lenders the version of the row with the lenders, which must still be the newest one.
      */
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -219,6 +219,44 @@
     EXPECT_LT(fleet.lenderOf("p"), fleet.size());
 }
 
+/**
+ * Before it has named witnesses, a lender lends without them. Those that it named while the rows
+ * lack a loan would say that it has lent nothing.
+ */
+TEST(BudgetLending, WitnessesAreNamedOnlyWhileTheRowsHaveAllLoans)
+{
+    ManualClock clock;
+    ManualTimers timers(clock);
+    MemoryRowStore store(timers, 5);
+    VmDirectory vms(clock, vmEntry(0, 1), 5);
+    // A VM that leaves the table of lenders to this one.
+    std::size_t number = 1;
+    const auto otherWrites = [&] {
+        VmDirectory known(clock, vmEntry(0, 1), 5);
+        known.receive(VmDirectory(clock, vmEntry(number, 1), 6).ownNews());
+        return known.coordinatorFor("budget-lenders").has_value();
+    };
+    while (otherWrites()) {
+        number += 1;
+    }
+    VmDirectory other(clock, vmEntry(number, 1), 6);
+    bool areUnsettled = true;
+    BudgetLenders lenders(
+        clock, timers, store, vms, true, [](const Endpoint &, const peers::LendingNote &) {},
+        {[&] { return areUnsettled; }, [] {}}, 5);
+    lenders.start();
+    const auto isNamed = [&] {
+        for (int step = 0; step < 20; ++step) {
+            vms.receive(other.ownNews());
+            timers.run(Milliseconds(500));
+        }
+        return store.rows().contains(witnessRow(incarnationName(vms.self())));
+    };
+    EXPECT_FALSE(isNamed());
+    areUnsettled = false;
+    EXPECT_TRUE(isNamed());
+}
+
 /** VMs are killed one after the other, so that each list names some that have ended. */
 TEST(BudgetLending, LendersThatAreLostInTurnCostNothing)
 {
--- a/tests/support/lending_fleet.h
+++ b/tests/support/lending_fleet.h
@@ -140,7 +140,9 @@
 class LendingFleet
 {
 public:
-    explicit LendingFleet(std::size_t vms, std::uint64_t seed = 5)
+    /** @param startTime time that passes after the start of all VMs. */
+    explicit LendingFleet(std::size_t vms, std::uint64_t seed = 5,
+                          Duration startTime = FeedTime * 2)
         : store(timers, seed)
         , m_seed(seed)
     {
@@ -148,7 +150,7 @@
             m_vms.push_back(makeVm(number, true));
         }
         gossip();
-        timers.run(FeedTime * 2);
+        timers.run(startTime);
     }
 
     LendingVm &vm(std::size_t number) { return *m_vms[number]; }
