--- a/misc/fuzz.sh
+++ b/misc/fuzz.sh
@@ -9,7 +9,7 @@
 runs=$3
 program="$build_folder/fuzz_$target"
 
-sources=(core/endpoint.cpp core/hash.cpp core/object_reader.cpp core/settings.cpp core/verdict.cpp
+sources=(core/endpoint.cpp core/hash.cpp core/json_access.cpp core/object_reader.cpp core/settings.cpp core/verdict.cpp
     callers/call_parser.cpp net/http_types.cpp "tests/fuzz/${target}_fuzz.cpp")
 
 newest=$(ls -t "${sources[@]}" | head -n 1)
