Log each call that the end of a planned stop cuts, and when calls were taken

The line of a stop's end gave the number of calls that it cut, but not which, and a call's own line is written only at its end. Now each call without an answer gets a line 'cut' with its id, age, replica, kind of route and the time left; while a VM stops, its call lines say how long after SIGTERM they were taken.

--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -234,6 +234,11 @@
 
     std::size_t openCalls() const { return m_calls.size(); }
 
+    /** A planned stop of this VM has begun; log lines tell when calls were taken relative to it. */
+    void noteStopStarted(SteadyTime at) { m_stopStarted = at; }
+    /** Writes a line for each open call: they are cut, as the process is about to end. */
+    void logCutCalls() const;
+
 private:
     /** A replica that a call was sent to, for the log. */
     struct AttemptedReplica
@@ -352,6 +357,8 @@
     void logCompletion(const Call &call, const CallCompletion &completion) const;
     /** Adds which replicas the call was sent to, and why, to a log line. */
     static void addPlacementDetails(const Call &call, LogLine &line);
+    /** Adds when the call was taken, relative to the planned stop of this VM, to a log line. */
+    void addStopDetails(const Call &call, LogLine &line) const;
     /** Adds the data that a refusal was based on, and the age of that data, to a log line. */
     void addRefusalDetails(const Call &call, CallRefusalReason reason, LogLine &line) const;
 
@@ -364,6 +371,8 @@
     std::vector<QueuedCall> m_queue;
     std::map<PoolName, ReportedUtilization> m_utilizations;
     bool m_queueCheckScheduled = false;
+    /** When the planned stop of this VM began; none if there is none. */
+    std::optional<SteadyTime> m_stopStarted;
     std::uint64_t m_nextHandle = 1;
 };
 
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -13,8 +13,47 @@
     return limit.has_value() ? absl::StrCat(limit->value()) : "-";
 }
 
+std::string_view kindName(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Idempotent:
+        return "idempotent";
+    case RequestKind::NonIdempotent:
+        return "non-idempotent";
+    case RequestKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
 } // namespace
 
+void CallScheduler::logCutCalls() const
+{
+    const SteadyTime now = m_dependencies.clock.now();
+    for (const auto &[handle, call] : m_calls) {
+        LogLine line("cut");
+        line.add("request", call.incoming.attempt.value())
+            .add("ms", toMillis(now - call.openedAt))
+            .add("attempt", call.dispatches)
+            .add("replica", call.currentReplica.value_or(ReplicaId()).value());
+        if (call.route != nullptr) {
+            line.add("route", call.route->name)
+                .add("kind", std::string(kindName(call.route->kind)))
+                .add("left_ms", toMillis(call.deadline - now));
+        }
+        addStopDetails(call, line);
+        line.info();
+    }
+}
+
+void CallScheduler::addStopDetails(const Call &call, LogLine &line) const
+{
+    if (m_stopStarted.has_value()) {
+        line.add("after_stop_ms", toMillis(call.openedAt - *m_stopStarted));
+    }
+}
+
 void CallScheduler::logLimit(const ReplicaEntry &replica, const AttemptId &attempt,
                              std::string_view outcome) const
 {
@@ -149,6 +188,7 @@
             .add("configuration", call.table->version.value())
             .add("left_ms", toMillis(call.deadline - m_dependencies.clock.now()));
     }
+    addStopDetails(call, line);
     if (call.organisation != nullptr) {
         line.add("organisation", call.organisation->id.value());
     }
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -284,6 +284,7 @@
 {
     LogLine("stopping").add("calls", static_cast<std::int64_t>(m_scheduler.openCalls())).info();
     m_stopStarted = m_clock.now();
+    m_scheduler.noteStopStarted(*m_stopStarted);
     m_ready = false;
     m_front.drain();
     m_membership.leave();
@@ -302,8 +303,10 @@
     const bool idle = m_lenders.isReleased() && allAnswered && m_ledger.pending() == 0
         && m_turns.pending() == 0 && m_ledgerRelay.unconfirmedSettlements() == 0;
     if ((idle && elapsed >= MinStopDuration) || elapsed >= m_settings.stopGrace - StopGraceMargin) {
+        m_scheduler.logCutCalls();
         LogLine("stopped")
             .add("calls", m_front.requestsInFlight())
+            .add("ms", toMillis(elapsed))
             .add("pending", static_cast<std::int64_t>(m_ledger.pending() + m_turns.pending()))
             .info();
         m_control.stop();
