Pass on only calls that end before a planned stop does

Callers saw: in a planned stop of one VM, in calm, requests that came late in the grace were taken and passed on, and cut without an answer when the process ended, among them such as may run only once.

Cause: a draining VM went on to take requests, on kept and new connections, and to pass them on until 0.9 s before the end of the grace, and then ended with whatever was under way. Whether a call could end by then was not asked.

Change: control/drain plans the stop from the signal and the grace. Until 2.9 s after the signal (at most half of the grace) calls are passed on whatever their deadlines: callers use the address for 3 s and nearly all of their calls end in time. Later, a call is passed on only if its latest end, the caller's deadline or the route's timeout, comes before the end of the stop; others get 503 at once with a Retry-After of 10 ms and Connection: close. The question is asked when a call is opened, when it leaves the queue and before each retry, and a request that was late to connect is not sent. The margin before the end of the grace is an eighth of it, so that in a short grace, too, calls that came early have more than five sixths of it. A longer grace that SIGHUP brings during the stop does not count: the platform may kill by the one of the signal.

The latest end is enforced: replicas are read until the deadline, a turn's record is awaited until then, streams and retries included. A caller that doesn't read its answer is the exception.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -317,7 +317,8 @@
         m_replicaConnections.returnIdle(dispatch.replica.endpoint, connection,
                                         DefaultKeepAliveTimeout);
         progress.observation.outcome = Outcome::NotSent;
-        progress.observation.failureReason = hasPermit ? NoRoom : "permit expired";
+        const char *lateReason = dispatch.replicaLimit.has_value() ? "permit expired" : "stopping";
+        progress.observation.failureReason = hasPermit ? NoRoom : lateReason;
         co_return AttemptResult::NotExecuted;
     }
     progress.possibleRuns += 1;
--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -58,6 +58,8 @@
         return ReplicaRetryAfter;
     case CallRefusalReason::Quarantined:
         return QuarantineRetryAfter;
+    case CallRefusalReason::Stopping:
+        return StopRetryAfter;
     case CallRefusalReason::NoRoute:
     case CallRefusalReason::BadCall:
     case CallRefusalReason::BudgetExhausted:
@@ -112,6 +114,8 @@
         return "over-quota";
     case CallRefusalReason::Overloaded:
         return "overloaded";
+    case CallRefusalReason::Stopping:
+        return "stopping";
     }
     return "unknown";
 }
@@ -184,8 +188,8 @@
         refuse(handle, *refusal);
         return;
     }
-    if (!isAdmitted(opened)) {
-        refuse(handle, CallRefusalReason::Quarantined);
+    if (const auto reason = reasonNotToSend(opened); reason.has_value()) {
+        refuse(handle, *reason);
         return;
     }
     if (opened.organisation != nullptr && opened.organisation->quota.isLimited()) {
@@ -439,6 +443,10 @@
     if (result.replicaLimit.has_value()) {
         result.sendBefore = m_dependencies.permits.use(replica.fingerprint);
     }
+    if (m_stop.has_value()) {
+        result.sendBefore =
+            std::min(result.sendBefore.value_or(m_stop->callsEnd), m_stop->callsEnd);
+    }
     call.attemptedReplicas.push_back(
         {replica.entry, result.replicaLimit, m_dependencies.clock.now()});
     call.currentReplica = replica.entry.id;
--- a/control/call_scheduler.h
+++ b/control/call_scheduler.h
@@ -3,6 +3,7 @@
 #include "control/admission/configuration_lease.h"
 #include "control/admission/program_admission.h"
 #include "control/call_queue_order.h"
+#include "control/drain/stop_plan.h"
 #include "control/ledger_relay.h"
 #include "control/limited_placement.h"
 #include "control/object_locations.h"
@@ -104,6 +105,8 @@
     OverQuota,
     /** The program has not begun, and those under way need all slots. */
     Overloaded,
+    /** This VM stops, and the call might not be answered before. */
+    Stopping,
 };
 
 /** Name of the reason in log lines. */
@@ -133,7 +136,8 @@
     std::optional<OrganisationId> organisation;
     /** The limit that the replica had named when it was chosen; none if it had named none. */
     std::optional<RequestRate> replicaLimit;
-    /** The request must be sent before this time or not at all; none if there is no limit. */
+    /** The request must be sent before this time or not at all, as a permit or this VM ends then;
+     * none if there is no limit. */
     std::optional<SteadyTime> sendBefore;
     std::int64_t tokensPerEvent = 0;
     /** The conversation before the new input; null if there is none or the route stores no turns.
@@ -234,9 +238,9 @@
 
     std::size_t openCalls() const { return m_calls.size(); }
 
-    /** A planned stop of this VM has begun; log lines tell when calls were taken relative to it. */
-    void noteStopStarted(SteadyTime at) { m_stopStarted = at; }
-    /** Writes a line for each open call: they are cut, as the process is about to end. */
+    /** A planned stop of this VM has begun, or its plan has changed. */
+    void setStopPlan(const StopPlan &plan) { m_stop = plan; }
+    /** Writes a line for each call that a replica has: it is about to be broken off. */
     void logCutCalls() const;
 
 private:
@@ -371,8 +375,8 @@
     std::vector<QueuedCall> m_queue;
     std::map<PoolName, ReportedUtilization> m_utilizations;
     bool m_queueCheckScheduled = false;
-    /** When the planned stop of this VM began; none if there is none. */
-    std::optional<SteadyTime> m_stopStarted;
+    /** The planned stop of this VM; none if it goes on. */
+    std::optional<StopPlan> m_stop;
     std::uint64_t m_nextHandle = 1;
 };
 
--- a/control/call_scheduler_admission.cpp
+++ b/control/call_scheduler_admission.cpp
@@ -73,7 +73,13 @@
 
 std::optional<CallRefusalReason> CallScheduler::reasonNotToSend(const Call &call)
 {
-    return isAdmitted(call) ? keyProblem(call) : CallRefusalReason::Quarantined;
+    if (!isAdmitted(call)) {
+        return CallRefusalReason::Quarantined;
+    }
+    if (m_stop.has_value() && !mayPassOn(*m_stop, m_dependencies.clock.now(), call.deadline)) {
+        return CallRefusalReason::Stopping;
+    }
+    return keyProblem(call);
 }
 
 std::optional<CallRefusalReason> CallScheduler::keyProblem(const Call &call) const
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -32,16 +32,17 @@
 {
     const SteadyTime now = m_dependencies.clock.now();
     for (const auto &[handle, call] : m_calls) {
+        if (!call.currentReplica.has_value()) {
+            continue;
+        }
         LogLine line("cut");
         line.add("request", call.incoming.attempt.value())
             .add("ms", toMillis(now - call.openedAt))
             .add("attempt", call.dispatches)
-            .add("replica", call.currentReplica.value_or(ReplicaId()).value());
-        if (call.route != nullptr) {
-            line.add("route", call.route->name)
-                .add("kind", std::string(kindName(call.route->kind)))
-                .add("left_ms", toMillis(call.deadline - now));
-        }
+            .add("replica", call.currentReplica->value())
+            .add("route", call.route->name)
+            .add("kind", std::string(kindName(call.route->kind)))
+            .add("left_ms", toMillis(call.deadline - now));
         addStopDetails(call, line);
         line.info();
     }
@@ -49,8 +50,8 @@
 
 void CallScheduler::addStopDetails(const Call &call, LogLine &line) const
 {
-    if (m_stopStarted.has_value()) {
-        line.add("after_stop_ms", toMillis(call.openedAt - *m_stopStarted));
+    if (m_stop.has_value()) {
+        line.add("after_stop_ms", toMillis(call.openedAt - m_stop->startedAt));
     }
 }
 
@@ -146,6 +147,7 @@
     case CallRefusalReason::DeadlineExceeded:
     case CallRefusalReason::Quarantined:
     case CallRefusalReason::UnknownKey:
+    case CallRefusalReason::Stopping:
         break;
     }
 }
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -24,8 +24,6 @@
 /** A planned stop lasts at least this long: callers use an address for up to three times its time
  * to live after it was withdrawn. */
 constexpr Milliseconds MinStopDuration{3'600};
-/** The stop ends this long before the platform kills the process. */
-constexpr Milliseconds StopGraceMargin{900};
 /** Conversations may use 1/64 of the VM's memory, which holds a few hundred that continue on this
  * VM. */
 constexpr std::size_t ConversationMemoryDivisor = 64;
@@ -254,7 +252,7 @@
         }
         if (signal == SIGHUP) {
             reload();
-        } else if (!m_stopStarted.has_value()) {
+        } else if (!m_stop.has_value()) {
             beginStop();
         }
         waitForSignal();
@@ -272,7 +270,13 @@
         return;
     }
     // Addresses stay the same for the lifetime of the process; the other settings are reloaded.
-    m_settings.stopGrace = settings->stopGrace;
+    if (m_stop.has_value()) {
+        // The platform may kill the process after the grace of the signal or after this one.
+        m_settings.stopGrace = std::min(m_settings.stopGrace, settings->stopGrace);
+        setStopPlan(planStop(m_stop->startedAt, m_settings.stopGrace));
+    } else {
+        m_settings.stopGrace = settings->stopGrace;
+    }
     m_settings.revocationBound = settings->revocationBound;
     m_lease.setTerm(leaseTerm(m_settings));
     m_settings.quotaTolerance = settings->quotaTolerance;
@@ -282,18 +286,26 @@
 
 void PlatformDaemon::beginStop()
 {
-    LogLine("stopping").add("calls", static_cast<std::int64_t>(m_scheduler.openCalls())).info();
-    m_stopStarted = m_clock.now();
-    m_scheduler.noteStopStarted(*m_stopStarted);
+    LogLine("stopping")
+        .add("calls", static_cast<std::int64_t>(m_scheduler.openCalls()))
+        .add("grace_ms", m_settings.stopGrace.count())
+        .info();
+    setStopPlan(planStop(m_clock.now(), m_settings.stopGrace));
     m_ready = false;
     m_front.drain();
     m_membership.leave();
     stopWhenIdle();
 }
 
+void PlatformDaemon::setStopPlan(const StopPlan &plan)
+{
+    m_stop = plan;
+    m_scheduler.setStopPlan(plan);
+}
+
 void PlatformDaemon::stopWhenIdle()
 {
-    const Duration elapsed = m_clock.now() - *m_stopStarted;
+    const Duration elapsed = m_clock.now() - m_stop->startedAt;
     const bool allAnswered = m_front.requestsInFlight() == 0;
     if (allAnswered && elapsed >= MinStopDuration) {
         m_grants.releaseAll();
@@ -302,7 +314,7 @@
     releaseLenderPartitions();
     const bool idle = m_lenders.isReleased() && allAnswered && m_ledger.pending() == 0
         && m_turns.pending() == 0 && m_ledgerRelay.unconfirmedSettlements() == 0;
-    if ((idle && elapsed >= MinStopDuration) || elapsed >= m_settings.stopGrace - StopGraceMargin) {
+    if ((idle && elapsed >= MinStopDuration) || m_clock.now() >= m_stop->callsEnd) {
         m_scheduler.logCutCalls();
         LogLine("stopped")
             .add("calls", m_front.requestsInFlight())
@@ -340,7 +352,7 @@
         .add("before", previousVersion)
         .add("outcome", "in force")
         .info();
-    m_ready = !m_stopStarted.has_value();
+    m_ready = !m_stop.has_value();
     m_vms.markStarted();
     asio::post(m_traffic, [this, limits = table->limits] { m_front.setLimits(limits); });
 }
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -69,6 +69,7 @@
     void waitForSignal();
     void reload();
     void beginStop();
+    void setStopPlan(const StopPlan &plan);
     void stopWhenIdle();
     void releaseLenderPartitions();
     void setRouteTable(std::shared_ptr<const RouteTable> table);
@@ -138,7 +139,7 @@
     HttpServer m_storeProxyServer;
     std::optional<HttpServer> m_metricsServer;
     std::atomic<bool> m_ready = false;
-    std::optional<SteadyTime> m_stopStarted;
+    std::optional<StopPlan> m_stop;
 };
 
 } // namespace boragepath
--- /dev/null
+++ b/tests/platform/planned_stop_test.cpp
@@ -0,0 +1,115 @@
+// Calls through a VM that stops as planned.
+
+#include "tests/support/platform_session.h"
+
+namespace boragepath::platform {
+
+namespace {
+
+/** One VM that stops, with a replica that answers at once. */
+class PlannedStop : public PlatformSession
+{
+protected:
+    PlannedStop()
+    {
+        configure();
+        m_replica = &addReplica([this](const std::string &head, const std::string &) {
+            return ReplicaScript{.answer = completeResponse(head, "served"), .delay = m_delay};
+        });
+    }
+
+    /** The VM has got its signal that long ago. */
+    void stop(Milliseconds ago, Milliseconds grace)
+    {
+        m_front.drain();
+        m_scheduler.setStopPlan(planStop(m_clock.now() - ago, grace));
+    }
+
+    std::string call(const std::string &path, const std::string &id)
+    {
+        return exchange(callRequest(path, id, "body"), "\r\n\r\n");
+    }
+
+    ScriptedReplica *m_replica = nullptr;
+    Milliseconds m_delay{0};
+};
+
+constexpr Milliseconds Grace{8'000};
+
+} // namespace
+
+// Calls that came late were passed on and then cut without an answer, also those that may run only
+// once. Each kind of route is sent with 1.5 s.
+TEST_F(PlannedStop, LateCallsThatMayOutlastItAreRefusedAtOnceAndReachNoReplica)
+{
+    stop(Milliseconds(6'000), Grace);
+    for (const char *path : {"/tool/x", "/look/x", "/read/x", "/turn/x", "/talk/x"}) {
+        SCOPED_TRACE(path);
+        const std::string answer = call(path, "a");
+        EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 503"));
+        EXPECT_THAT(answer, testing::HasSubstr("Retry-After: 0.010\r\n"));
+        EXPECT_THAT(answer, testing::HasSubstr("Connection: close\r\n"));
+    }
+    EXPECT_TRUE(m_replica->heads.empty());
+}
+
+TEST_F(PlannedStop, CallsThatEndBeforeItAreServed)
+{
+    stop(Milliseconds(5'000), Grace);
+    EXPECT_THAT(call("/tool/x", "a"), testing::StartsWith("HTTP/1.1 200"));
+    EXPECT_THAT(call("/look/x", "b"), testing::StartsWith("HTTP/1.1 200"));
+}
+
+// The route's timeout bounds a call as its deadline does.
+TEST_F(PlannedStop, ACallWithoutADeadlineEndsAtTheTimeoutOfItsRoute)
+{
+    const std::string request = "POST /tool/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    stop(Milliseconds(4'900), Grace);
+    EXPECT_THAT(exchange(request, "\r\n\r\n"), testing::StartsWith("HTTP/1.1 200"));
+    stop(Milliseconds(5'200), Grace);
+    EXPECT_THAT(exchange(request, "\r\n\r\n"), testing::StartsWith("HTTP/1.1 503"));
+}
+
+TEST_F(PlannedStop, CallersThatStillUseTheAddressAreServedWhateverTheirDeadlines)
+{
+    stop(Milliseconds(1'000), Milliseconds(2'500));
+    EXPECT_THAT(call("/tool/x", "a"), testing::StartsWith("HTTP/1.1 200"));
+    stop(Milliseconds(1'500), Milliseconds(2'500));
+    EXPECT_THAT(call("/tool/x", "b"), testing::StartsWith("HTTP/1.1 503"));
+}
+
+// A replica that declines makes the VM send the call to another one, later than it was taken.
+TEST_F(PlannedStop, ARetryThatMayOutlastItIsRefused)
+{
+    const auto declines = [this](const std::string &, const std::string &) {
+        stop(Milliseconds(6'000), Grace);
+        return ReplicaScript{"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+    };
+    m_replicas.remove(ReplicaId("i-1"), m_clock.now());
+    ScriptedReplica &first = addReplica(declines);
+    ScriptedReplica &second = addReplica(declines);
+    EXPECT_THAT(call("/tool/x", "a"), testing::StartsWith("HTTP/1.1 503"));
+    EXPECT_EQ(first.heads.size() + second.heads.size(), 1U);
+}
+
+// A call waited for a free slot when the stop began, and got one late in the grace.
+TEST_F(PlannedStop, AQueuedCallThatMayOutlastItIsRefused)
+{
+    m_replicas.remove(ReplicaId("i-1"), m_clock.now());
+    ScriptedReplica &busy = addReplica(
+        [this](const std::string &head, const std::string &) {
+            m_timers.after(Milliseconds(100), [this] { stop(Milliseconds(6'000), Grace); });
+            return ReplicaScript{.answer = completeResponse(head, "served"),
+                                 .delay = Milliseconds(300)};
+        },
+        "v1", 1);
+    exchangeAtOnce(4, [](int number) {
+        return callRequest("/tool/x", absl::StrCat("q", number), "body", "Connection: close\r\n");
+    });
+    EXPECT_LT(busy.heads.size(), 4U);
+    EXPECT_EQ(m_counters.served + m_counters.refused, 4U);
+    EXPECT_EQ(m_counters.served, busy.heads.size());
+}
+
+} // namespace boragepath::platform
