End a planned stop without cutting what has been read

Callers saw: a request that was read just as the process decided to end got no answer; a call that was left at the end of the grace was cut without a word; an answer was lost if the next request had been sent on the connection already.

Cause: the end was decided on a count of requests that the other thread went on to raise, and the process then ended with its sockets. And a connection that is closed with unread bytes is reset by the system, so that an answer that the caller has not read is lost.

Change: the front server stops taking first. It takes what waits to be accepted, closes its port and the idle connections, and refuses as not run what it reads from then on (503, or 408 for a request that doesn't arrive in 0.2 s). The process ends when no connection is left. At the end of the calls' time those at replicas are broken off and answered 502, a stream without its end, each with its line 'cut'; what is left then, such as a turn that is being recorded, has another 0.6 s of a grace of 8 s. Loans are given back in that time too: with a call always under way they never were. A connection is read for up to 0.3 s after its last answer until the caller closes it.

--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -305,17 +305,28 @@
 
 void PlatformDaemon::stopWhenIdle()
 {
-    const Duration elapsed = m_clock.now() - m_stop->startedAt;
+    const SteadyTime now = m_clock.now();
+    const Duration elapsed = now - m_stop->startedAt;
+    if (now >= m_stop->callsEnd && !m_callsBrokenOff) {
+        m_callsBrokenOff = true;
+        m_scheduler.logCutCalls();
+        m_front.close();
+        m_front.breakOffCalls();
+    }
+    const bool isEnding = elapsed >= MinStopDuration || m_callsBrokenOff;
     const bool allAnswered = m_front.requestsInFlight() == 0;
-    if (allAnswered && elapsed >= MinStopDuration) {
+    if (allAnswered && isEnding) {
         m_grants.releaseAll();
     }
     m_ledger.flush();
     releaseLenderPartitions();
     const bool idle = m_lenders.isReleased() && allAnswered && m_ledger.pending() == 0
         && m_turns.pending() == 0 && m_ledgerRelay.unconfirmedSettlements() == 0;
-    if ((idle && elapsed >= MinStopDuration) || m_clock.now() >= m_stop->callsEnd) {
-        m_scheduler.logCutCalls();
+    if (idle && isEnding) {
+        // A request may have been read since the check above: it is served, and no further ones.
+        m_front.close();
+    }
+    if ((idle && m_front.isClosed()) || now >= m_stop->processEnd) {
         LogLine("stopped")
             .add("calls", m_front.requestsInFlight())
             .add("ms", toMillis(elapsed))
--- a/main/platform_daemon.h
+++ b/main/platform_daemon.h
@@ -140,6 +140,8 @@
     std::optional<HttpServer> m_metricsServer;
     std::atomic<bool> m_ready = false;
     std::optional<StopPlan> m_stop;
+    /** The calls that were left at the end of the stop have been broken off. */
+    bool m_callsBrokenOff = false;
 };
 
 } // namespace boragepath
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/support/platform_session.h"
 
+#include <boost/asio/write.hpp>
+
 namespace boragepath::platform {
 
 namespace {
@@ -30,6 +32,14 @@
         return exchange(callRequest(path, id, "body"), "\r\n\r\n");
     }
 
+    /** Sends bytes that the VM does not read before runFor() or an exchange. */
+    static void sendUnread(boost::asio::ip::tcp::socket &socket, const std::string &bytes)
+    {
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+    }
+
+    void runFor(Milliseconds duration) { m_context.run_for(duration); }
+
     ScriptedReplica *m_replica = nullptr;
     Milliseconds m_delay{0};
 };
@@ -112,4 +122,105 @@
     EXPECT_EQ(m_counters.served, busy.heads.size());
 }
 
+// The process ended as soon as no call was under way. What came on open connections in that moment
+// was read and got no answer.
+TEST_F(PlannedStop, ARequestThatCrossesTheEndOnAKeptConnectionIsRefused)
+{
+    const auto caller = connectCaller();
+    exchangeOn(*caller, callRequest("/tool/x", "a", "body"), "served");
+    m_front.close();
+    sendUnread(*caller, callRequest("/tool/x", "b", "body"));
+    const std::string answer = exchangeOn(*caller, "", "<closed>");
+    EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 503"));
+    EXPECT_THAT(answer, testing::HasSubstr("Retry-After: 0.010\r\n"));
+    EXPECT_THAT(answer, testing::HasSubstr("Connection: close\r\n"));
+    EXPECT_EQ(m_replica->heads.size(), 1U);
+}
+
+TEST_F(PlannedStop, ARequestOnAConnectionThatWasNotAcceptedYetIsRefused)
+{
+    runFor(Milliseconds(10));
+    const auto caller = connectCaller();
+    m_front.close();
+    sendUnread(*caller, callRequest("/tool/x", "a", "body"));
+    EXPECT_THAT(exchangeOn(*caller, "", "<closed>"), testing::StartsWith("HTTP/1.1 503"));
+    EXPECT_TRUE(m_replica->heads.empty());
+}
+
+TEST_F(PlannedStop, IdleConnectionsAreClosedAtTheEndAndCallsUnderWayAreServed)
+{
+    const auto idle = connectCaller();
+    exchangeOn(*idle, callRequest("/tool/x", "a", "body"), "served");
+    m_delay = Milliseconds(100);
+    m_timers.after(Milliseconds(50), [this] { m_front.close(); });
+    EXPECT_THAT(call("/tool/x", "b"), testing::StartsWith("HTTP/1.1 200"));
+    EXPECT_EQ(exchangeOn(*idle, "", "<closed>"), "<closed>");
+    EXPECT_FALSE(m_front.isClosed());
+    idle->close();
+    runFor(Milliseconds(500));
+    EXPECT_TRUE(m_front.isClosed());
+}
+
+TEST_F(PlannedStop, ARequestWhoseBodyDoesNotArriveIsAnsweredAsNotRun)
+{
+    const auto caller = connectCaller();
+    sendUnread(*caller,
+               "POST /tool/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n"
+               "Content-Length: 9\r\n\r\npart");
+    runFor(Milliseconds(20));
+    m_front.close();
+    EXPECT_THAT(exchangeOn(*caller, "", "<closed>"), testing::StartsWith("HTTP/1.1 408"));
+    EXPECT_TRUE(m_replica->heads.empty());
+}
+
+// Calls that were left at the end of the grace were cut without a word.
+TEST_F(PlannedStop, CallsThatAreLeftAtTheEndAreAnsweredAsFailed)
+{
+    m_delay = Milliseconds(1'000);
+    m_timers.after(Milliseconds(50), [this] {
+        stop(Milliseconds(8'000), Grace);
+        m_front.close();
+        m_front.breakOffCalls();
+    });
+    const SteadyTime sentAt = m_clock.now();
+    const std::string answer = call("/look/x", "a");
+    EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 502"));
+    EXPECT_LT(m_clock.now() - sentAt, Milliseconds(500));
+    EXPECT_EQ(m_replica->heads.size(), 1U);
+}
+
+TEST_F(PlannedStop, AStreamThatIsLeftAtTheEndIsNotEndedAsComplete)
+{
+    m_replicas.remove(ReplicaId("i-1"), m_clock.now());
+    addReplica([this](const std::string &head, const std::string &) {
+        m_timers.after(Milliseconds(50), [this] {
+            stop(Milliseconds(8'000), Grace);
+            m_front.close();
+            m_front.breakOffCalls();
+        });
+        return ReplicaScript{streamHead(head) + chunk(event(1))};
+    });
+    const std::string answer = exchange(callRequest("/read/x", "a", "body"), "<closed>");
+    EXPECT_THAT(answer, testing::HasSubstr("data: d1"));
+    EXPECT_THAT(answer, testing::HasSubstr("<closed>"));
+    EXPECT_THAT(answer, testing::Not(testing::HasSubstr("0\r\n\r\n")));
+}
+
+// The connection was closed with the next request unread. The system then resets it, and an answer
+// that the caller had not read yet was lost.
+TEST_F(PlannedStop, AnAnswerIsNotLostIfTheNextRequestHasBeenSentAlready)
+{
+    m_front.drain();
+    m_delay = Milliseconds(50);
+    const auto caller = connectCaller();
+    sendUnread(*caller, callRequest("/tool/x", "a", "body"));
+    runFor(Milliseconds(20));
+    sendUnread(*caller, callRequest("/tool/x", "b", "body"));
+    runFor(Milliseconds(100));
+    const std::string answer = exchangeOn(*caller, "", "<closed>");
+    EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 200"));
+    EXPECT_THAT(answer, testing::HasSubstr("served"));
+    EXPECT_EQ(m_replica->heads.size(), 1U);
+}
+
 } // namespace boragepath::platform
