Log why a budget is withheld and what the witnesses of a lost lender said

Each such refusal now logs the program's partition, its lender, the tenure and the lost lender before it, with the tokens of the row. The line on a lost lender names each of its witnesses with what it said: lent, nothing lent, restarted or silent. The inquiry is in a file of its own, with its decision as free functions. No decision has changed.

--- a/control/outage/budget_lenders.cpp
+++ b/control/outage/budget_lenders.cpp
@@ -42,8 +42,6 @@
 constexpr Milliseconds ReleaseLifetime{120'000};
 /** Some 20 B each; more than a VM remembers, and less than a row may hold. */
 constexpr std::size_t MaxReleasedPrograms = 2'500;
-/** A VM that is alive answers a question within this time, also if one datagram is lost. */
-constexpr Milliseconds InquiryTime{1'200};
 /** Each takes up to three entries of a transaction, which has 100 at most. */
 constexpr std::size_t MaxReplacedAtOnce = 30;
 constexpr Milliseconds MinRetryDelay{300};
@@ -198,6 +196,7 @@
 
 void BudgetLenders::setTable(LenderTable table)
 {
+    noteLostLenders(table);
     m_table = std::move(table);
     std::map<std::size_t, OwnTenure> tenures;
     for (std::size_t partition = 0; partition < m_table.size(); ++partition) {
@@ -217,6 +216,36 @@
         .info();
 }
 
+void BudgetLenders::noteLostLenders(const LenderTable &next)
+{
+    for (std::size_t partition = 0; partition < next.size(); ++partition) {
+        if (next[partition].previous != PreviousTenure::Lost) {
+            m_lostLenders.erase(partition);
+            continue;
+        }
+        const bool isKnown = partition < m_table.size();
+        if (isKnown && m_table[partition].lender != next[partition].lender) {
+            m_lostLenders[partition] = m_table[partition].lender;
+        }
+    }
+}
+
+void BudgetLenders::describeTenure(const ProgramId &program, LogLine &line) const
+{
+    const std::size_t partition = lenderPartition(program);
+    line.add("partition", static_cast<std::int64_t>(partition));
+    if (partition >= m_table.size()) {
+        return;
+    }
+    const LenderTenure &tenure = m_table[partition];
+    line.add("lender", tenure.lender).add("tenure", tenure.number);
+    if (tenure.previous == PreviousTenure::Lost) {
+        const auto lost = m_lostLenders.find(partition);
+        // A VM that has started since doesn't know the name.
+        line.add("lost_lender", lost == m_lostLenders.end() ? "unknown" : lost->second);
+    }
+}
+
 const BudgetLenders::OwnTenure *BudgetLenders::validTenure(const ProgramId &program) const
 {
     const bool isConfirmed =
@@ -431,7 +460,7 @@
             allDone = false;
             continue;
         }
-        if (resultOf(found->second) == InquiryResult::Pending) {
+        if (resultOf(found->second, m_clock.now()) == InquiryResult::Pending) {
             askWitnesses(lender, found->second);
             allDone = false;
         }
@@ -454,7 +483,7 @@
                          m_inquiries.erase(found);
                          return;
                      }
-                     Inquiry &inquiry = found->second;
+                     LossInquiry &inquiry = found->second;
                      inquiry.list = WitnessList();
                      if (!result.rows.empty()) {
                          inquiry.rowVersion = result.rows.front().version;
@@ -465,7 +494,7 @@
                  });
 }
 
-void BudgetLenders::askWitnesses(const std::string &lender, const Inquiry &inquiry)
+void BudgetLenders::askWitnesses(const std::string &lender, const LossInquiry &inquiry)
 {
     if (!inquiry.list.has_value()) {
         return;
@@ -488,36 +517,9 @@
 void BudgetLenders::handleTestimony(const peers::LendingNote &note)
 {
     const auto found = m_inquiries.find(note.lender);
-    if (found == m_inquiries.end() || !found->second.list.has_value()) {
-        return;
-    }
-    Inquiry &inquiry = found->second;
-    const std::vector<std::string> &witnesses = inquiry.list->witnesses;
-    const bool isWitness =
-        std::find(witnesses.begin(), witnesses.end(), note.witness) != witnesses.end();
-    if (!isWitness || note.revision != inquiry.list->revision) {
-        return;
-    }
-    inquiry.hasLent = inquiry.hasLent || note.hasLent;
-    if (!note.hasLent) {
-        inquiry.withoutLoans.insert(note.witness);
-    }
-}
-
-BudgetLenders::InquiryResult BudgetLenders::resultOf(const Inquiry &inquiry) const
-{
-    const bool isOver = m_clock.now() >= inquiry.startedAt + InquiryTime;
-    if (!inquiry.list.has_value()) {
-        return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
-    }
-    const std::size_t count = inquiry.list->witnesses.size();
-    if (count == 0 || inquiry.hasLent) {
-        return InquiryResult::Unknown;
-    }
-    if (inquiry.withoutLoans.size() >= testimoniesNeeded(count)) {
-        return InquiryResult::NothingLent;
+    if (found != m_inquiries.end()) {
+        addTestimony(found->second, note);
     }
-    return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
 }
 
 void BudgetLenders::replace(const std::set<std::string> &lost,
@@ -530,8 +532,8 @@
     }
     LenderExceptions exceptions;
     for (const std::string &lender : lost) {
-        const Inquiry &inquiry = m_inquiries.at(lender);
-        const bool nothingLent = resultOf(inquiry) == InquiryResult::NothingLent;
+        const LossInquiry &inquiry = m_inquiries.at(lender);
+        const bool nothingLent = resultOf(inquiry, m_clock.now()) == InquiryResult::NothingLent;
         if (nothingLent) {
             exceptions.withoutLoans.insert(lender);
             change.conditions.push_back({witnessRow(lender), inquiry.rowVersion});
@@ -542,6 +544,8 @@
         LogLine("lenders")
             .add("lender", lender)
             .add("witnesses", static_cast<std::int64_t>(inquiry.withoutLoans.size()))
+            .add("testimonies", testimoniesOf(inquiry, m_vms))
+            .add("replaced", m_vms.isReplaced(lender) ? "restarted" : "silent")
             .add("outcome", nothingLent ? "lost-nothing-lent" : "lost")
             .warning();
     }
--- a/control/outage/budget_lenders.h
+++ b/control/outage/budget_lenders.h
@@ -3,11 +3,13 @@
 #include "control/outage/lender_table.h"
 #include "control/outage/lending_rights.h"
 #include "control/outage/lending_witness.h"
+#include "control/outage/loss_inquiry.h"
 #include "control/row_store.h"
 #include "control/vm_directory.h"
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "core/ids.h"
+#include "core/logging.h"
 
 #include <functional>
 #include <map>
@@ -82,6 +84,9 @@
     LoanPermission askToLend(const ProgramId &program, const ProgramKnowledge &knowledge);
     /** The witnesses have been told that this VM lends, and are likely to answer soon. */
     bool isLoanPending() const { return m_rights.isPending(); }
+    /** Adds who lends for a program, and which lost lender is why nobody may use its whole budget.
+     */
+    void describeTenure(const ProgramId &program, LogLine &line) const;
     /** Handles a message from the VM at @p from. */
     void receive(const Endpoint &from, const peers::LendingNote &note);
     /**
@@ -123,18 +128,6 @@
         SteadyTime seenAt;
     };
 
-    /** What the witnesses of a lost lender say. */
-    struct Inquiry
-    {
-        SteadyTime startedAt;
-        std::optional<WitnessList> list;
-        RowRevision rowVersion;
-        /** Witnesses that say that it has lent nothing, and acknowledge nothing more. */
-        std::set<std::string> withoutLoans;
-        bool hasLent = false;
-    };
-    enum class InquiryResult { Pending, NothingLent, Unknown };
-
     const OwnTenure *validTenure(const ProgramId &program) const;
     /** Time after which programs that the new lender has not met have ended. */
     static Duration delayAfter(PreviousTenure previous);
@@ -149,6 +142,8 @@
     void apply(const std::vector<StoreRow> &rows);
     void applyTable(const StoreRow &row);
     void setTable(LenderTable table);
+    /** Remembers whom a change of the table replaces without knowing what they have lent. */
+    void noteLostLenders(const LenderTable &next);
     /** The row is gone or can't be read, so that nobody knows what has been lent. */
     void forgetTable();
     void applyRelease(const StoreRow &row);
@@ -166,8 +161,7 @@
     /** Starts and goes on with the inquiries about lost lenders; true once all have a result. */
     bool inquire(const std::set<std::string> &lost);
     void startInquiry(const std::string &lender);
-    void askWitnesses(const std::string &lender, const Inquiry &inquiry);
-    InquiryResult resultOf(const Inquiry &inquiry) const;
+    void askWitnesses(const std::string &lender, const LossInquiry &inquiry);
     void handleTestimony(const peers::LendingNote &note);
     /** Writes a table in which these lenders are replaced. */
     void replace(const std::set<std::string> &lost, const std::vector<std::string> &available);
@@ -197,6 +191,8 @@
     /** The table was the newest one at this time. */
     std::optional<BootTime> m_confirmedAt;
     std::map<std::size_t, OwnTenure> m_ownTenures;
+    /** By partition, the last lender that was lost with unknown loans; for the log. */
+    std::map<std::size_t, std::string> m_lostLenders;
     /** By the names of the VMs that released their partitions. */
     std::map<std::string, Release> m_releases;
     /** Since when each lender has not been live. */
@@ -205,7 +201,7 @@
     LendingRights m_rights;
     LendingRights::Send m_send;
     Loans m_loans;
-    std::map<std::string, Inquiry> m_inquiries;
+    std::map<std::string, LossInquiry> m_inquiries;
     SteadyTime m_startedAt;
     bool m_writing = false;
     bool m_gaveUp = false;
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -131,6 +131,11 @@
     m_hasFullAuthority = std::move(hasFullAuthority);
 }
 
+void ProgramLedger::setTenureLog(std::function<void(const ProgramId &, LogLine &)> describeTenure)
+{
+    m_describeTenure = std::move(describeTenure);
+}
+
 std::int64_t ProgramLedger::committedBesides(const ProgramId &program,
                                              const AttemptId &besides) const
 {
@@ -268,6 +273,23 @@
     completeChange(change, ReservationResult::BudgetExhausted);
 }
 
+void ProgramLedger::refuseForNow(Change &change, const Program &program)
+{
+    LogLine line("budget");
+    line.add("request", change.request.turn.value())
+        .add("program", change.request.program.value())
+        .add("committed", committedTokens(program.record))
+        .add("restricted", restrictedTokens(program.record))
+        .add("budget", change.request.budget)
+        .add("most", change.request.maxTokens)
+        .add("row_version", static_cast<std::int64_t>(program.version.value()));
+    if (m_describeTenure != nullptr) {
+        m_describeTenure(change.request.program, line);
+    }
+    line.add("outcome", "withheld").info();
+    completeChange(change, ReservationResult::StoreUnavailable);
+}
+
 void ProgramLedger::completeChange(Change &change, ReservationResult result)
 {
     m_pending -= 1;
@@ -349,7 +371,7 @@
         refuseOverBudget(change, program);
     }
     for (Change &change : blocked) {
-        completeChange(change, ReservationResult::StoreUnavailable);
+        refuseForNow(change, program);
     }
     if (mustRead) {
         readRow(id);
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -4,6 +4,7 @@
 #include "control/row_store.h"
 #include "control/store_health.h"
 #include "core/clock.h"
+#include "core/logging.h"
 
 #include <cstdint>
 #include <functional>
@@ -92,6 +93,8 @@
     void settle(const TurnSettlement &settlement);
     /** Decides whether this VM may reserve the whole budget of a program; by default it may. */
     void setAuthority(std::function<bool(const ProgramId &)> hasFullAuthority);
+    /** Adds to the line on a withheld reservation who lends for the program, and since when. */
+    void setTenureLog(std::function<void(const ProgramId &, LogLine &)> describeTenure);
     /**
      * Tokens of a program that are spent or reserved, without the reservation @p besides: by the
      * last known row, and by settlements that are not in it yet.
@@ -177,6 +180,8 @@
     void applyRows(Program &program, const std::vector<StoreRow> &rows, const ProgramId &id);
     void retryAfterBackoff(const ProgramId &id, bool read);
     void refuseOverBudget(Change &change, const Program &program);
+    /** Refuses what tokens are missing for that others may release or may have lent. */
+    void refuseForNow(Change &change, const Program &program);
     void completeChange(Change &change, ReservationResult result);
     void evictIdleProgram();
 
@@ -189,6 +194,7 @@
     std::size_t m_pending = 0;
     std::size_t m_pendingReservations = 0;
     std::function<bool(const ProgramId &)> m_hasFullAuthority;
+    std::function<void(const ProgramId &, LogLine &)> m_describeTenure;
     std::optional<BootTime> m_lastForgottenUse;
 };
 
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -207,6 +207,9 @@
 {
     m_ledger.setAuthority(
         [this](const ProgramId &program) { return m_lenders.hasFullAuthority(program); });
+    m_ledger.setTenureLog([this](const ProgramId &program, LogLine &line) {
+        m_lenders.describeTenure(program, line);
+    });
     m_grants.setLenders(m_lenders);
     m_ledgerRelay.setLenders(m_lenders);
     m_lease.setTerm(leaseTerm(m_settings));
--- a/tests/support/lending_fleet.h
+++ b/tests/support/lending_fleet.h
@@ -124,6 +124,9 @@
     {
         ledger.setAuthority(
             [this](const ProgramId &program) { return lenders.hasFullAuthority(program); });
+        ledger.setTenureLog([this](const ProgramId &program, LogLine &line) {
+            lenders.describeTenure(program, line);
+        });
         grants.setLenders(lenders);
         lenders.start();
     }
