Let half of the VMs be lost at once without halving budgets

Callers saw: two of three VMs were killed in calm and back in 2 s. Programs that began 12 s later could use half of their budgets and half a turn for 631 s, and their turns were refused with 503 in all tries (LOST).

Besides, all witnesses were of the lender's zone, and were lost with it.

Change: a list of witnesses has up to ten, half or more of other zones, and says how many testimonies are asked for: as many as are left for certain when half of the VMs are lost with the lender, two at least (one of two); the lender needs the acknowledgements of all but one less. A list is renewed when the fleet has grown so that it asks for too many. A list without the number, of an older version, asks for two as before, and older versions ask for two of a new list, or count one of more than five as unreadable; both are stricter.

Weighed: a zone that is cut off from the others with the store lends nothing now. A lender that is cut off can't be told from one that is lost with its zone.

--- a/control/outage/lending_rights.cpp
+++ b/control/outage/lending_rights.cpp
@@ -54,7 +54,7 @@
             // A witness that has ended can't say any more that nothing was lent.
             return m_acknowledged.contains(witness) || m_vms.isReplaced(witness);
         });
-    return static_cast<std::size_t>(knowing) < acknowledgementsNeeded(list->witnesses.size());
+    return static_cast<std::size_t>(knowing) < acknowledgementsNeeded(*list);
 }
 
 bool LendingRights::mayLend() const
@@ -144,16 +144,21 @@
     if (m_unconfirmedList.has_value()) {
         return m_unconfirmedList;
     }
-    const std::vector<std::string> witnesses =
-        chooseWitnesses(m_vms.otherIncarnations(true), m_vms.otherIncarnations(false), m_random);
+    const std::vector<std::string> ownZone = m_vms.otherIncarnations(true);
+    const std::vector<std::string> otherZones = m_vms.otherIncarnations(false);
+    const std::vector<std::string> witnesses = chooseWitnesses(ownZone, otherZones, m_random);
+    const std::size_t testimonies =
+        testimoniesFor(witnesses.size(), ownZone.size() + otherZones.size());
+    // A list that was chosen among few VMs asks for more testimonies than are left when half of
+    // many are lost.
     const bool stillServes = m_list.has_value() && m_rowVersion != RowRevision(0)
-        && m_list->witnesses.size() >= witnesses.size()
+        && m_list->witnesses.size() >= witnesses.size() && m_list->testimonies <= testimonies
         && std::none_of(m_list->witnesses.begin(), m_list->witnesses.end(),
                         [this](const std::string &name) { return m_vms.isReplaced(name); });
     if (stillServes || witnesses.empty()) {
         return std::nullopt;
     }
-    return WitnessList{(m_list.has_value() ? m_list->revision : 0) + 1, witnesses};
+    return WitnessList{(m_list.has_value() ? m_list->revision : 0) + 1, witnesses, testimonies};
 }
 
 void LendingRights::maintain(const RowCondition &lenders)
--- a/control/outage/lending_witness.cpp
+++ b/control/outage/lending_witness.cpp
@@ -16,8 +16,15 @@
 constexpr std::size_t MaxLenders = 4'000;
 /** Longer than a lost lender and the programs that it may have lent to last. */
 constexpr Milliseconds EntryLifetime{700'000};
-/** With fewer VMs of its zone, a lender has witnesses of others, too. */
-constexpr std::size_t MinWitnesses = 3;
+constexpr std::size_t WitnessesOfOtherZones = MaxWitnesses / 2;
+/** With fewer, a lender could not lend while a single witness is down. */
+constexpr std::size_t MinTestimonies = 2;
+
+/** Of a list that names no number, as older versions write it. */
+std::size_t testimoniesWithoutNumber(std::size_t count)
+{
+    return std::min(count, MinTestimonies);
+}
 
 } // namespace
 
@@ -27,23 +34,37 @@
 {
     std::shuffle(ownZone.begin(), ownZone.end(), random);
     std::shuffle(otherZones.begin(), otherZones.end(), random);
-    if (ownZone.size() > MaxWitnesses) {
-        ownZone.resize(MaxWitnesses);
-    }
-    while (ownZone.size() < MinWitnesses && !otherZones.empty()) {
-        ownZone.push_back(otherZones.back());
-        otherZones.pop_back();
-    }
+    const std::size_t freePlaces = MaxWitnesses - std::min(MaxWitnesses, ownZone.size());
+    const std::size_t ofOtherZones =
+        std::min(otherZones.size(), std::max(WitnessesOfOtherZones, freePlaces));
+    ownZone.resize(std::min(ownZone.size(), MaxWitnesses - ofOtherZones));
+    otherZones.resize(ofOtherZones);
+    ownZone.insert(ownZone.end(), otherZones.begin(), otherZones.end());
     return ownZone;
 }
 
+std::size_t testimoniesFor(std::size_t count, std::size_t otherVms)
+{
+    // Half of all VMs, rounded up, without the lender.
+    const std::size_t lostVms = otherVms / 2;
+    const std::size_t left = count - std::min(count, lostVms);
+    return std::min(count, std::max(left, count <= MinTestimonies ? 1 : MinTestimonies));
+}
+
+std::size_t acknowledgementsNeeded(const WitnessList &list)
+{
+    const std::size_t count = list.witnesses.size();
+    return count == 0 ? 0 : count - list.testimonies + 1;
+}
+
 std::string encodeWitnessList(const WitnessList &list)
 {
     json::array witnesses;
     for (const std::string &witness : list.witnesses) {
         witnesses.push_back(json::value(witness));
     }
-    return json::serialize(json::object{{"revision", list.revision}, {"witnesses", witnesses}});
+    return json::serialize(json::object{
+        {"revision", list.revision}, {"witnesses", witnesses}, {"testimonies", list.testimonies}});
 }
 
 std::optional<WitnessList> decodeWitnessList(const std::string &text)
@@ -57,13 +78,25 @@
     if (revision == nullptr || !revision->is_int64()) {
         return std::nullopt;
     }
-    WitnessList list{revision->get_int64(), {}};
+    WitnessList list{revision->get_int64(), {}, 0};
     for (const json::value &witness : arrayAt(value.get_object(), "witnesses")) {
         if (!witness.is_string() || list.witnesses.size() == MaxWitnesses) {
             return std::nullopt;
         }
         list.witnesses.emplace_back(witness.get_string());
     }
+    const json::value *testimonies = value.get_object().if_contains("testimonies");
+    if (testimonies == nullptr) {
+        list.testimonies = testimoniesWithoutNumber(list.witnesses.size());
+        return list;
+    }
+    const bool isValid = testimonies->is_int64() && testimonies->get_int64() >= 0
+        && static_cast<std::size_t>(testimonies->get_int64()) <= list.witnesses.size()
+        && (testimonies->get_int64() > 0 || list.witnesses.empty());
+    if (!isValid) {
+        return std::nullopt;
+    }
+    list.testimonies = static_cast<std::size_t>(testimonies->get_int64());
     return list;
 }
 
--- a/control/outage/lending_witness.h
+++ b/control/outage/lending_witness.h
@@ -19,6 +19,8 @@
     std::int64_t revision = 0;
     /** Names of incarnations of VMs. */
     std::vector<std::string> witnesses;
+    /** How many of them must say that the lender has lent nothing. */
+    std::size_t testimonies = 0;
 
     friend bool operator==(const WitnessList &, const WitnessList &) = default;
 };
@@ -28,30 +30,30 @@
 std::optional<WitnessList> decodeWitnessList(const std::string &text);
 
 /** Most witnesses of one lender. */
-inline constexpr std::size_t MaxWitnesses = 5;
+inline constexpr std::size_t MaxWitnesses = 10;
 
 /**
- * The witnesses of a lender: VMs of its zone, so that it may lend while the zone is cut off; VMs of
- * others only if it has too few.
+ * The witnesses of a lender: half of them or more of other zones, as far as these have VMs, so that
+ * some are left when all VMs of its zone are lost with it.
  */
 std::vector<std::string> chooseWitnesses(std::vector<std::string> ownZone,
                                          std::vector<std::string> otherZones,
                                          std::mt19937_64 &random);
 
 /**
- * Witnesses that must say that a lender has lent nothing, of @p count. A lender lends only if so
- * many have acknowledged it that at least one of any such group knows.
+ * Witnesses that must say that a lender has lent nothing, of @p count that were chosen among
+ * @p otherVms.
+ *
+ * So many are left for certain when half of the VMs are lost with the lender, two at least. Fewer
+ * would ask for more acknowledgements than the lender gets while some VMs are down.
  */
-constexpr std::size_t testimoniesNeeded(std::size_t count)
-{
-    return count < 2 ? count : 2;
-}
+std::size_t testimoniesFor(std::size_t count, std::size_t otherVms);
 
-/** Witnesses that must have acknowledged a notice, of @p count. */
-constexpr std::size_t acknowledgementsNeeded(std::size_t count)
-{
-    return count == 0 ? 0 : count - testimoniesNeeded(count) + 1;
-}
+/**
+ * Witnesses that must have acknowledged a notice, so that at least one of any group that is asked
+ * knows of it.
+ */
+std::size_t acknowledgementsNeeded(const WitnessList &list);
 
 /**
  * What this VM remembers as a witness of lenders.
--- a/control/outage/loss_inquiry.cpp
+++ b/control/outage/loss_inquiry.cpp
@@ -43,11 +43,10 @@
     if (!inquiry.list.has_value()) {
         return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
     }
-    const std::size_t count = inquiry.list->witnesses.size();
-    if (count == 0 || !inquiry.withLoans.empty()) {
+    if (inquiry.list->witnesses.empty() || !inquiry.withLoans.empty()) {
         return InquiryResult::Unknown;
     }
-    if (inquiry.withoutLoans.size() >= testimoniesNeeded(count)) {
+    if (inquiry.withoutLoans.size() >= inquiry.list->testimonies) {
         return InquiryResult::NothingLent;
     }
     return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -270,6 +270,54 @@
     }
 }
 
+/**
+ * VMs are killed at the same moment while the store works, and each is a witness of the others:
+ * two of three, half of eleven, all of a zone. The programs that begin later must not do with half
+ * of their budgets for ten minutes.
+ */
+TEST(BudgetLending, LendersThatAreLostTogetherCostNothingWhileEnoughWitnessesAreLeft)
+{
+    struct Loss
+    {
+        std::size_t vms;
+        std::size_t zones;
+        std::vector<std::size_t> lost;
+    };
+    const std::vector<Loss> losses = {{3, 1, {0, 1}},
+                                      {3, 1, {1, 2}},
+                                      {4, 1, {0, 3}},
+                                      {11, 1, {0, 1, 2, 3, 4, 5}},
+                                      {12, 3, {0, 3, 6, 9}}};
+    for (const Loss &loss : losses) {
+        for (const Milliseconds downTime : {Milliseconds(0), Milliseconds(2'000)}) {
+            SCOPED_TRACE(absl::StrCat(loss.lost.size(), " of ", loss.vms, " lost for ",
+                                      downTime.count(), " ms"));
+            LendingFleet fleet(loss.vms, 5, FeedTime * 3, loss.zones);
+            fleet.crashTogether(loss.lost, downTime);
+            fleet.timers.run(Seconds(12));
+            for (int number = 0; number < 40; ++number) {
+                EXPECT_LT(fleet.lenderOf(absl::StrCat("program-", number)), fleet.size()) << number;
+            }
+        }
+    }
+}
+
+/**
+ * Of two witnesses one is enough to say that a lender has lent nothing, so that it must not lend
+ * while only the other one knows.
+ */
+TEST(BudgetLending, ALenderWithTwoWitnessesLendsOnlyOnceBothKnow)
+{
+    LendingFleet fleet(3);
+    const std::size_t lender = fleet.lenderOf("p");
+    fleet.cutOff.insert(fleet.vm((lender + 1) % 3).vms.self().vm);
+    fleet.setStoreAway(true);
+    EXPECT_EQ(fleet.reserve(lender, "p", Seconds(2)), ReservationResult::StoreUnavailable);
+    fleet.cutOff.clear();
+    fleet.timers.run(Seconds(2));
+    EXPECT_EQ(fleet.reserve(lender, "p"), ReservationResult::Granted);
+}
+
 /** Nobody is left that knows whether the lost lenders have lent. */
 TEST(BudgetLending, LendersThatAreLostWithTheirWitnessesCountAsHavingLent)
 {
@@ -339,14 +387,51 @@
 
 TEST(LendingWitness, SomebodyKnowsAmongThoseWhoAreAsked)
 {
-    for (std::size_t count = 1; count <= MaxWitnesses; ++count) {
-        EXPECT_GT(acknowledgementsNeeded(count) + testimoniesNeeded(count), count);
-        EXPECT_GE(acknowledgementsNeeded(count), 1U);
+    for (std::size_t otherVms = 1; otherVms <= 400; ++otherVms) {
+        for (std::size_t count = 1; count <= std::min(otherVms, MaxWitnesses); ++count) {
+            WitnessList list{1, std::vector<std::string>(count, "vm"), 0};
+            list.testimonies = testimoniesFor(count, otherVms);
+            EXPECT_GT(acknowledgementsNeeded(list) + list.testimonies, count);
+            EXPECT_GE(acknowledgementsNeeded(list), 1U);
+            EXPECT_GE(list.testimonies, 1U);
+        }
     }
-    const WitnessList list{7, {"vm-1/3", "vm-2/9"}};
+    const WitnessList list{7, {"vm-1/3", "vm-2/9"}, 1};
     EXPECT_EQ(decodeWitnessList(encodeWitnessList(list)), list);
     EXPECT_EQ(decodeWitnessList(R"({"revision":"7"})"), std::nullopt);
     EXPECT_EQ(decodeWitnessList(R"({"revision":1,"witnesses":[3]})"), std::nullopt);
+    EXPECT_EQ(decodeWitnessList(R"({"revision":1,"witnesses":["a"],"testimonies":0})"),
+              std::nullopt);
+    EXPECT_EQ(decodeWitnessList(R"({"revision":1,"witnesses":["a"],"testimonies":2})"),
+              std::nullopt);
+}
+
+/** A lender of an older version lends once one of two has acknowledged that. */
+TEST(LendingWitness, AListWithoutANumberAsksForTheTestimoniesThatItsWriterCountedOn)
+{
+    const auto needed = [](const std::string &witnesses) {
+        return decodeWitnessList(R"({"revision":1,"witnesses":[)" + witnesses + "]}")->testimonies;
+    };
+    EXPECT_EQ(needed(R"("a")"), 1U);
+    EXPECT_EQ(needed(R"("a","b")"), 2U);
+    EXPECT_EQ(needed(R"("a","b","c","d","e")"), 2U);
+}
+
+/** Half of the VMs, or all of a zone, are lost with the lender. */
+TEST(LendingWitness, EnoughAreLeftWhenHalfOfTheVmsAreLost)
+{
+    for (std::size_t otherVms = 1; otherVms <= MaxWitnesses; ++otherVms) {
+        EXPECT_LE(testimoniesFor(otherVms, otherVms), otherVms - otherVms / 2);
+    }
+    std::mt19937_64 random(3);
+    const std::vector<std::string> own(20, "own");
+    const std::vector<std::string> other(20, "other");
+    const std::vector<std::string> witnesses = chooseWitnesses(own, other, random);
+    EXPECT_EQ(witnesses.size(), MaxWitnesses);
+    EXPECT_GE(std::count(witnesses.begin(), witnesses.end(), "other"),
+              static_cast<std::ptrdiff_t>(testimoniesFor(MaxWitnesses, 40)));
+    EXPECT_EQ(chooseWitnesses({"a"}, {"b", "c"}, random).size(), 3U);
+    EXPECT_EQ(chooseWitnesses(own, {}, random).size(), MaxWitnesses);
 }
 
 /** A VM that was suspended for long wakes and doesn't know that others have replaced it. */
@@ -522,7 +607,7 @@
     SteadyTime begunAt = fleet.clock.now();
     for (int step = 0; step < 60; ++step) {
         const std::size_t vm = random() % fleet.size();
-        switch (random() % 13) {
+        switch (random() % 14) {
         case 0:
             fleet.vm(vm).store.isAway = !fleet.vm(vm).store.isAway;
             break;
@@ -548,6 +633,15 @@
                 fleet.cutOff.insert(fleet.vm(vm).vms.self().vm);
             }
             break;
+        case 7: {
+            // Two of three or all, at the same moment.
+            std::vector<std::size_t> lost = {0, 1, 2};
+            if (random() % 3 != 0) {
+                lost.erase(lost.begin() + static_cast<std::ptrdiff_t>(vm));
+            }
+            fleet.crashTogether(lost, Milliseconds(random() % 2'000));
+            break;
+        }
         default:
             if (fleet.reserve(vm, program, Milliseconds(random() % 1'500))
                     == ReservationResult::Granted
--- a/tests/support/lending_fleet.h
+++ b/tests/support/lending_fleet.h
@@ -143,11 +143,15 @@
 class LendingFleet
 {
 public:
-    /** @param startTime time that passes after the start of all VMs. */
+    /**
+     * @param startTime time that passes after the start of all VMs.
+     * @param zones number of availability zones, which get the VMs in turn.
+     */
     explicit LendingFleet(std::size_t vms, std::uint64_t seed = 5,
-                          Duration startTime = FeedTime * 2)
+                          Duration startTime = FeedTime * 2, std::size_t zones = 1)
         : store(timers, seed)
         , m_seed(seed)
+        , m_zones(zones)
     {
         for (std::size_t number = 0; number < vms; ++number) {
             m_vms.push_back(makeVm(number, true));
@@ -206,6 +210,21 @@
         m_vms[vm] = makeVm(vm, false);
     }
 
+    /** These VMs are killed at the same moment, and start again after @p downTime. */
+    void crashTogether(const std::vector<std::size_t> &vms, Duration downTime)
+    {
+        for (const std::size_t vm : vms) {
+            crash(vm);
+            m_down.insert(m_vms[vm]->vms.self().vm);
+            m_vms[vm]->store.isAway = true;
+        }
+        timers.run(downTime);
+        for (const std::size_t vm : vms) {
+            m_down.erase(m_vms[vm]->vms.self().vm);
+            m_vms[vm]->store.isAway = false;
+        }
+    }
+
     /** A planned stop: the VM releases its partitions if it can, and ends. */
     void stop(std::size_t vm)
     {
@@ -246,7 +265,8 @@
     std::unique_ptr<LendingVm> makeVm(std::size_t number, bool isFirstStart)
     {
         m_incarnations += 1;
-        const VmEntry self = vmEntry(number, m_incarnations);
+        VmEntry self = vmEntry(number, m_incarnations);
+        self.zone = ZoneId(absl::StrCat("zone-", number % m_zones));
         return std::make_unique<LendingVm>(
             clock, timers, store, self, isFirstStart,
             [this, self](const Endpoint &to, const peers::LendingNote &note) {
@@ -255,7 +275,7 @@
             m_seed + m_incarnations);
     }
 
-    bool isCut(const VmEntry &vm) const { return cutOff.contains(vm.vm); }
+    bool isCut(const VmEntry &vm) const { return cutOff.contains(vm.vm) || m_down.contains(vm.vm); }
 
     /** The process of @p sender, if it is still there. */
     LendingVm *running(const VmEntry &sender) const
@@ -294,6 +314,9 @@
     }
 
     std::uint64_t m_seed;
+    std::size_t m_zones;
+    /** VMs that were killed and have not started again. */
+    std::set<VmId> m_down;
     std::int64_t m_incarnations = 0;
     int m_turns = 0;
     std::vector<std::unique_ptr<LendingVm>> m_vms;
