Count a witness that has restarted as one that doesn't know

What could happen: a VM is cut off, and its successor reserves whole budgets in the rows, since the witnesses say that nothing was lent. One of them restarts; the VM hears that, but not from the store that it was replaced, takes the restarted witness for one that knows, and lends from budgets that are reserved a second time (BUDGET).

Cause: a witness that has ended was counted as one that can't testify any more, though it may have testified before it ended.

Change: only acknowledgements count.

--- a/control/outage/lending_rights.cpp
+++ b/control/outage/lending_rights.cpp
@@ -20,6 +20,9 @@
 constexpr Milliseconds WriteSpread{4'000};
 /** Shortest time between two changes of a list. */
 constexpr Milliseconds WriteInterval{5'000};
+/** The same after a write that met another change. */
+constexpr Milliseconds ConflictDelay{500};
+constexpr Milliseconds ConflictSpread{1'000};
 
 } // namespace
 
@@ -49,11 +52,11 @@
     if (!list.has_value()) {
         return false;
     }
+    // A witness that has restarted may have said before that nothing was lent, so that it counts as
+    // one that doesn't know.
     const auto knowing = std::count_if(
-        list->witnesses.begin(), list->witnesses.end(), [this](const std::string &witness) {
-            // A witness that has ended can't say any more that nothing was lent.
-            return m_acknowledged.contains(witness) || m_vms.isReplaced(witness);
-        });
+        list->witnesses.begin(), list->witnesses.end(),
+        [this](const std::string &witness) { return m_acknowledged.contains(witness); });
     return static_cast<std::size_t>(knowing) < acknowledgementsNeeded(*list);
 }
 
@@ -208,6 +211,10 @@
         confirm(own->version);
         return;
     }
+    // The lenders have changed meanwhile, as after the loss of a witness; the feed brings the
+    // table.
+    m_nextWriteAt =
+        m_clock.now() + ConflictDelay + Milliseconds(m_random() % ConflictSpread.count());
     // Earlier writes depend on the same rows as this one, and can't take effect any more.
     m_unconfirmedList.reset();
     m_mayBeWritten = false;
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -318,6 +318,35 @@
     EXPECT_EQ(fleet.reserve(lender, "p"), ReservationResult::Granted);
 }
 
+/**
+ * A VM that was cut off is replaced, since its witnesses say that it has lent nothing. One of them
+ * restarts, and the VM hears of that, but not from the store that it is no lender any more.
+ */
+TEST(BudgetLending, AWitnessThatRestartedAfterItsTestimonyIsNoAcknowledgement)
+{
+    LendingFleet fleet(3);
+    const std::size_t lender = fleet.lenderOf("p");
+    LendingVm &cut = fleet.vm(lender);
+    fleet.cutOff.insert(cut.vms.self().vm);
+    cut.store.isAway = true;
+    const auto isReplaced = [&] {
+        const LenderTable table =
+            decodeLenderTable(fleet.store.rows().at({"budget-lenders", "", "all"}).value).value();
+        return table[lenderPartition(ProgramId("p"))].lender != incarnationName(cut.vms.self());
+    };
+    for (int step = 0; step < 200 && !isReplaced(); ++step) {
+        fleet.timers.run(Milliseconds(100));
+    }
+    ASSERT_TRUE(isReplaced());
+    // Each of the others in turn, so that one that has testified is among them.
+    for (const std::size_t witness : {(lender + 1) % 3, (lender + 2) % 3}) {
+        fleet.crash(witness);
+        fleet.cutOff.clear();
+        fleet.timers.run(Seconds(1));
+        EXPECT_NE(fleet.reserve(lender, "p", Seconds(2)), ReservationResult::Granted);
+    }
+}
+
 /** Nobody is left that knows whether the lost lenders have lent. */
 TEST(BudgetLending, LendersThatAreLostWithTheirWitnessesCountAsHavingLent)
 {
