Keep lists of witnesses that older versions read safe for them

What could happen in a fleet of both versions with six VMs: the list of a new lender with five witnesses asks for three testimonies, and the lender lends after three acknowledgements. A VM of the older version that replaces it asks for two, which the other two could give (BUDGET). Lists of up to five, all that older versions read, now ask for two testimonies at most.

--- a/control/outage/lending_witness.cpp
+++ b/control/outage/lending_witness.cpp
@@ -20,6 +20,9 @@
 /** With fewer, a lender could not lend while a single witness is down. */
 constexpr std::size_t MinTestimonies = 2;
 
+/** Older versions read no longer lists, and ask for MinTestimonies whatever a list says. */
+constexpr std::size_t MaxWitnessesOfOlderVersions = 5;
+
 /** Of a list that names no number, as older versions write it. */
 std::size_t testimoniesWithoutNumber(std::size_t count)
 {
@@ -48,7 +51,10 @@
     // Half of all VMs, rounded up, without the lender.
     const std::size_t lostVms = otherVms / 2;
     const std::size_t left = count - std::min(count, lostVms);
-    return std::min(count, std::max(left, count <= MinTestimonies ? 1 : MinTestimonies));
+    if (count <= MaxWitnessesOfOlderVersions) {
+        return std::clamp(left, std::size_t{1}, MinTestimonies);
+    }
+    return std::max(left, MinTestimonies);
 }
 
 std::size_t acknowledgementsNeeded(const WitnessList &list)
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -446,6 +446,20 @@
     EXPECT_EQ(needed(R"("a","b","c","d","e")"), 2U);
 }
 
+/** A VM of an older version that replaces a lender asks for two testimonies whatever its list says.
+ */
+TEST(LendingWitness, SomebodyKnowsAmongTheTwoThatAnOlderVersionAsks)
+{
+    constexpr std::size_t MaxReadable = 5;
+    for (std::size_t otherVms = 1; otherVms <= 400; ++otherVms) {
+        for (std::size_t count = 1; count <= std::min(otherVms, MaxReadable); ++count) {
+            WitnessList list{1, std::vector<std::string>(count, "vm"), 0};
+            list.testimonies = testimoniesFor(count, otherVms);
+            EXPECT_GT(acknowledgementsNeeded(list) + std::min<std::size_t>(count, 2), count);
+        }
+    }
+}
+
 /** Half of the VMs, or all of a zone, are lost with the lender. */
 TEST(LendingWitness, EnoughAreLeftWhenHalfOfTheVmsAreLost)
 {
