--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -358,6 +358,20 @@
     EXPECT_EQ(fleet.lenderOf("p"), fleet.size());
 }
 
+/**
+ * All VMs lose power in calm. Nothing was lent, but nobody is left who could say so; the programs
+ * that begin later have half of their budgets for ten minutes.
+ */
+TEST(BudgetLending, LendersThatAreAllLostInCalmCostTheirProgramsNothing)
+{
+    LendingFleet fleet(3);
+    fleet.crashTogether({0, 1, 2}, Seconds(2));
+    fleet.timers.run(Seconds(12));
+    for (int number = 0; number < 40; ++number) {
+        EXPECT_LT(fleet.lenderOf(absl::StrCat("program-", number)), fleet.size()) << number;
+    }
+}
+
 /** Its witnesses can't learn that it lends, and would say that it has not. */
 TEST(BudgetLending, ALenderThatCannotTellItsWitnessesLendsNothing)
 {
