Log what a replica answered to an attempt that failed

The attempt line said 'no answer' both for a replica that sent nothing and for one that stopped within its head, and 'could not be resumed' for every answer that cannot continue a stream. An operator could not tell which of two replicas stopped where, and what the next one answered.

The line has the status of the answer now (0: no whole head arrived), and 'head broke off' where a part of a head had arrived. platform_session_test: 15 cases pass.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -329,12 +329,15 @@
     const bool sent = co_await connection->send(head, body, dispatch.deadline);
     if (!sent || !co_await readMatchingHead(progress, *connection, reply)) {
         progress.observation.outcome = Outcome::Failed;
-        progress.observation.failureReason = sent ? "no answer" : "send failed";
+        progress.observation.failureReason = !sent ? "send failed"
+            : connection->responseBegun()          ? "head broke off"
+                                                   : "no answer";
         connection->close();
         co_return progress.channel.isDisconnected() ? AttemptResult::CallerGone
                                                     : AttemptResult::Incomplete;
     }
     progress.observation.load = reply.load;
+    progress.observation.status = reply.status;
     if (reply.notExecuted) {
         progress.possibleRuns -= 1;
         progress.observation.outcome = Outcome::Declined;
--- a/backends/replica_connection.cpp
+++ b/backends/replica_connection.cpp
@@ -161,6 +161,11 @@
     m_brokenByServer = m_brokenByServer || isEndOfStream || isReset;
 }
 
+bool ReplicaConnection::responseBegun() const
+{
+    return m_state->parser.has_value() && m_state->parser->got_some();
+}
+
 bool ReplicaConnection::responseComplete() const
 {
     return m_state->parser.has_value() && m_state->parser->is_done();
--- a/backends/replica_connection.h
+++ b/backends/replica_connection.h
@@ -40,6 +40,8 @@
     boost::asio::awaitable<bool> readSome(std::string &body, SteadyTime until);
     /** Requests that have been sent on the connection, the present one included. */
     int requestsSent() const { return m_requestsSent; }
+    /** A part of a final response has arrived, if only of its head. */
+    bool responseBegun() const;
     /** The whole response has arrived. */
     bool responseComplete() const;
     /** The connection can be reused: no bytes are left over, and the server keeps it open. */
--- a/control/call_scheduler_log.cpp
+++ b/control/call_scheduler_log.cpp
@@ -93,6 +93,7 @@
         .add("version", call.attemptedReplicas.back().entry.softwareVersion.value())
         .add("limit", limitText(call.attemptedReplicas.back().limit))
         .add("outcome", observation.failureReason)
+        .add("status", static_cast<std::int64_t>(observation.status))
         .add("fingerprint", call.incoming.identity.request.text())
         .add("target", call.incoming.identity.target.text())
         .add("replica_ended", observation.replicaEnded)
--- a/control/replica_table.h
+++ b/control/replica_table.h
@@ -74,6 +74,8 @@
     Outcome outcome = Outcome::Served;
     /** Error text for the log; empty if the request was served. */
     std::string failureReason = std::string();
+    /** Status of its answer; 0 if no whole head arrived. */
+    unsigned status = 0;
     /** Another replica than the expected one answers at this address. */
     bool wrongReplica = false;
     /** The connection broke off under the request, and nobody listens at the address any more. */
