--- a/tests/support/platform_session.cpp
+++ b/tests/support/platform_session.cpp
@@ -223,9 +223,19 @@
     entry.softwareVersion = SoftwareVersion(version);
     entry.slots = slots;
     m_replicas.put(entry);
+    m_entries.push_back(entry);
     return *m_scripted.back();
 }
 
+void PlatformSession::renewReplicas()
+{
+    for (ReplicaEntry &entry : m_entries) {
+        m_replicas.remove(entry.id, m_clock.now());
+        entry.id = ReplicaId(entry.id.value() + "n");
+        m_replicas.put(entry);
+    }
+}
+
 std::string PlatformSession::exchange(const std::string &bytes, const std::string &until)
 {
     return exchangeOn(*connectCaller(), bytes, until);
--- a/tests/support/platform_session.h
+++ b/tests/support/platform_session.h
@@ -100,6 +100,8 @@
     /** Starts a replica of the service "app" and registers it. */
     ScriptedReplica &addReplica(ReplicaBehaviour behaviour, const std::string &version = "v1",
                                 std::int64_t slots = 4);
+    /** Registers the scripted replicas as new ones of the same addresses, in place of those. */
+    void renewReplicas();
     /** Sends bytes on a new connection and reads until @p until arrives or the VM closes it. */
     std::string exchange(const std::string &bytes, const std::string &until);
     /** Opens a connection of a caller. */
@@ -143,6 +145,8 @@
     CallForwarder m_forwarder;
     FrontServer m_front;
     std::vector<std::unique_ptr<ScriptedReplica>> m_scripted;
+    /** Entries of the replicas, in the order in which they were added. */
+    std::vector<ReplicaEntry> m_entries;
     bool m_done = false;
     /** Connections of exchangeAtOnce() that the VM has not closed yet. */
     int m_openExchanges = 0;
