Continue a stream only with an event stream of the same status

A resumable stream breaks off, and the next replica answers the request for the rest with 204 and the type of an event stream: the caller got the end of the stream as if it were complete after two of its events, and the turn was recorded with them as its whole output (a turn after it got 200 where 404 was due). With 206 the caller got the events of that answer as the rest.

Cause: each success that is an event stream counted as the continuation. 204 has no body, so that it ended at once.

An answer that is no event stream, or has another status than the one that the caller has, is not read any more: the next replica is asked where attempts are left, else the caller's connection is closed. A 204 is also never passed on in chunks, whose end a caller would take for the next answer.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -46,6 +46,8 @@
 /** An event is held by the parser, as the parsed event, and as the chunk that is being sent. */
 constexpr std::size_t EventCopies = 3;
 constexpr unsigned FirstServerError = 500;
+/** An answer with this status has no body, and its framing has no end. */
+constexpr unsigned NoContent = 204;
 /** Failure of an answer that the process can't hold beside all others. */
 constexpr const char *NoRoom = "no room for the answer";
 /** Retry-After of refusals without a replica: some replica has likely a free slot by then. */
@@ -56,6 +58,12 @@
     return status / 100 == 2;
 }
 
+/** The answer is passed on event by event. */
+bool isStream(const ReplicaResponseHead &head)
+{
+    return head.isEventStream && isSuccess(head.status) && head.status != NoContent;
+}
+
 } // namespace
 
 /** How the attempt to run a call on one replica ended. */
@@ -354,7 +362,10 @@
         co_return AttemptResult::Incomplete;
     }
     AttemptResult attemptResult = AttemptResult::Incomplete;
-    if (reply.isEventStream && isSuccess(reply.status)) {
+    if (progress.responseStarted && (!isStream(reply) || reply.status != progress.status)) {
+        // The caller has a part of a stream, which an answer of another kind cannot continue.
+        progress.observation.failureReason = "could not be resumed";
+    } else if (isStream(reply)) {
         attemptResult = co_await forwardEventStream(progress, *connection, reply);
     } else {
         attemptResult = co_await forwardBufferedResponse(progress, *connection, reply);
@@ -481,11 +492,6 @@
             co_return AttemptResult::Incomplete;
         }
     }
-    if (progress.responseStarted) {
-        // Part of a stream was sent already: a response of another kind cannot continue it.
-        progress.observation.failureReason = "could not be resumed";
-        co_return AttemptResult::Incomplete;
-    }
     if (head.status >= FirstServerError && progress.canRetry()) {
         progress.observation.failureReason = "server error";
         co_return AttemptResult::Incomplete;
