Go on with a stream only at the event after the last one

The next replica of a stream that broke off began at another event than the one after the caller's last: the caller got a stream without an event (a gap), or the events of a run that had begun anew after those of the run before it. The same came out for a caller that took a stream up at this VM. Streams whose events have no ids began anew in the middle of the caller's stream. The turn was recorded like that.

Cause: events with ids up to the last one were skipped and each later one was passed on; an event without an id had no position at all.

backends/stream_position decides on plain data: the first event of a replica that is to go on must be the one after the last, else the attempt ends and the next replica is asked. Ids only have to increase, so that within one answer whose ids have grown by more than one, any later id goes on. A stream whose last event has no id goes on nowhere and ends visibly broken off.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "backends/call_forwarder.h"
 
+#include "backends/stream_position.h"
 #include "core/logging.h"
 #include "net/control_call.h"
 #include "net/event_stream_parser.h"
@@ -96,8 +97,8 @@
     bool isStream = false;
     /** Events sent to the caller, from all replicas. */
     std::int64_t events = 0;
-    /** Id of the last event sent to the caller; a resumed stream continues after it. */
-    std::optional<std::int64_t> lastEventId = std::nullopt;
+    /** Where the caller's stream stands; a resumed stream continues there. */
+    StreamPosition position = StreamPosition();
     /** Data of the events sent, where the route stores turns. */
     std::string output = std::string();
     unsigned status = 0;
@@ -110,7 +111,11 @@
         return route.kind == RequestKind::Idempotent
             || (route.kind == RequestKind::Stream && route.resumable);
     }
-    bool canRetry() const { return isRepeatable() && possibleRuns < dispatch.route->maxReplicas; }
+    bool canRetry() const
+    {
+        return isRepeatable() && possibleRuns < dispatch.route->maxReplicas
+            && !position.endsWithoutId;
+    }
     /** Accounts for the output and @p pending bytes more; false if there is no room for them. */
     bool hold(std::size_t pending)
     {
@@ -188,7 +193,7 @@
     Progress progress{call,      codec,     *channel, std::get<CallDispatch>(decision),
                       startedAt, m_received};
     if (call.resumption.has_value()) {
-        progress.lastEventId = call.resumption->lastEventId;
+        progress.position.lastEventId = call.resumption->lastEventId;
     }
     for (;;) {
         const AttemptResult attemptResult = co_await runOnReplica(progress);
@@ -258,7 +263,7 @@
 {
     const CallDispatch &dispatch = progress.dispatch;
     // No other replica may follow the last one, so it gets all the time that is left.
-    if (!progress.isRepeatable() || progress.possibleRuns >= dispatch.route->maxReplicas) {
+    if (!progress.canRetry()) {
         return dispatch.deadline;
     }
     const Milliseconds silence = dispatch.route->kind == RequestKind::Stream
@@ -317,7 +322,7 @@
         }
     }
     const std::string head =
-        progress.codec.requestHead(dispatch, timeLeft, bodyBytes, progress.lastEventId);
+        progress.codec.requestHead(dispatch, timeLeft, bodyBytes, progress.position.lastEventId);
     const bool hasPermit =
         !dispatch.sendBefore.has_value() || progress.sentAt < *dispatch.sendBefore;
     if (!hasPermit || !progress.hold(0)) {
@@ -537,13 +542,18 @@
     SteadyTime lastAt;
     std::int64_t eventsFromReplica = 0;
     const bool storesOutput = progress.dispatch.route->storesTurns;
+    bool continues = progress.position.lastEventId.has_value();
     for (;;) {
         while (std::optional<StreamEvent> event = scanner.next()) {
-            const bool alreadySent = event->id.has_value() && progress.lastEventId.has_value()
-                && *event->id <= *progress.lastEventId;
-            if (alreadySent) {
+            const EventPlace place = placeOf(*event, progress.position, continues);
+            if (place == EventPlace::Elsewhere) {
+                progress.observation.failureReason = "another position";
+                co_return AttemptResult::Incomplete;
+            }
+            if (place == EventPlace::Repeated) {
                 continue;
             }
+            continues = continues && isComment(*event);
             if (progress.hasAllTokens()) {
                 progress.observation.failureReason = "more tokens than the turn may have";
                 co_return AttemptResult::Incomplete;
@@ -567,9 +577,7 @@
             eventsFromReplica += 1;
             progress.observation.atBeginning = false;
             progress.events += 1;
-            if (event->id.has_value()) {
-                progress.lastEventId = event->id;
-            }
+            advance(progress.position, *event);
             if (storesOutput) {
                 progress.output += event->data;
                 progress.output += '\n';
--- /dev/null
+++ b/backends/stream_position.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "net/event_stream_parser.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace boragepath {
+
+/** How far a caller has got a stream, which several replicas may write one after another. */
+struct StreamPosition
+{
+    /** Id of the last event that the caller has; another replica goes on after it. */
+    std::optional<std::int64_t> lastEventId;
+    /** Each id has been one more than the one before, as far as the events of this answer tell. */
+    bool isConsecutive = true;
+    /** The last event has data and no id, so that no replica can go on after it. */
+    bool endsWithoutId = false;
+};
+
+/** Place of a replica's event in the stream of its caller. */
+enum class EventPlace {
+    Next,
+    Repeated, ///< The same replica has sent an event with this id or a later one.
+    Elsewhere, ///< The replica does not go on where the stream stands.
+};
+
+/** @param continues a replica was asked to go on at @p position, and has sent no event yet. */
+EventPlace placeOf(const StreamEvent &event, const StreamPosition &position, bool continues);
+
+/** Notes that the caller has got @p event. */
+void advance(StreamPosition &position, const StreamEvent &event);
+
+/** True if the event says nothing about the position: it is a comment, and keeps a connection open.
+ */
+bool isComment(const StreamEvent &event);
+
+} // namespace boragepath
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -125,6 +125,17 @@
      }},
 };
 
+const std::vector<Continuation> OtherPositions = {
+    {"a gap", [](const std::string &h) { return streamHead(h) + eventsFrom(4, 5) + LastChunk; }},
+    {"from the start",
+     [](const std::string &h) { return streamHead(h) + eventsFrom(1, 4) + LastChunk; }},
+    {"a repeat", [](const std::string &h) { return streamHead(h) + eventsFrom(2, 4) + LastChunk; }},
+    {"events without an id",
+     [](const std::string &h) { return streamHead(h) + chunk("data: d3\n\n") + LastChunk; }},
+    {"a gap that ends with its connection",
+     [](const std::string &h) { return sealedResponse(h, EventStream, event(4) + event(5)); }},
+};
+
 } // namespace
 
 class BrokenStreamTest : public PlatformSession
@@ -204,6 +215,19 @@
         EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 404"));
     }
 
+    /** A caller takes up a stream of another VM after its second event. */
+    void expectNothingTakenUp(const std::vector<Continuation> &continuations)
+    {
+        for (const Continuation &continuation : continuations) {
+            SCOPED_TRACE(continuation.name);
+            answerWith(continuation);
+            const std::string answer =
+                exchange(callRequest("/read/x", "a", "input\n", "Last-Event-Id: 2\r\n"), Closed);
+            EXPECT_THAT(answer, testing::Not(testing::HasSubstr("data: ")));
+            EXPECT_THAT(answer, testing::Not(testing::HasSubstr("\r\n" + LastChunk)));
+        }
+    }
+
     std::function<ReplicaScript(const std::string &head)> m_answer;
     /** Requests that the replicas have got of the present call. */
     int m_requests = 0;
@@ -221,6 +245,18 @@
     expectBrokenOff(OtherAnswers);
 }
 
+// The caller got a stream without its third event, or the events of a run that had begun anew
+// after those of the run before.
+TEST_F(BrokenStreamTest, AStreamThatGoesOnAtAnotherPositionIsBrokenOff)
+{
+    expectBrokenOff(OtherPositions);
+}
+
+TEST_F(BrokenStreamTest, AStreamThatItsCallerTakesUpDoesNotGoOnAtAnotherPosition)
+{
+    expectNothingTakenUp(OtherPositions);
+}
+
 TEST_F(BrokenStreamTest, ANextReplicaThatStopsInItsHeadBreaksTheStreamOff)
 {
     std::vector<Continuation> continuations;
@@ -272,10 +308,22 @@
     expectBrokenOff(continuations);
 }
 
+// The next replica repeated such a stream from its start.
+TEST_F(BrokenStreamTest, AStreamWithoutIdsDoesNotGoOnElsewhere)
+{
+    m_answer = [](const std::string &head) {
+        return ReplicaScript{.answer = streamHead(head) + chunk("data: d1\n\n"), .close = true};
+    };
+    const std::string answer = exchange(callRequest("/read/x", "a", "input\n"), LastChunk);
+    EXPECT_EQ(bodyOf(answer), chunk("data: d1\n\n") + Closed);
+    EXPECT_EQ(m_requests, 1);
+}
+
 TEST_F(BrokenStreamTest, AfterAnErrorTheStreamGoesOnWhereAttemptsAreLeft)
 {
     std::vector<Continuation> failures = ErrorAnswers;
     failures.insert(failures.end(), OtherAnswers.begin(), OtherAnswers.end());
+    failures.insert(failures.end(), OtherPositions.begin(), OtherPositions.end());
     failures.push_back({"declined", [](const std::string &h) {
                             return withLength(h, "503 Busy", "wrong", "Not-Executed: 1\r\n");
                         }});
@@ -303,6 +351,19 @@
     }
 }
 
+// Ids only have to increase: those of some replicas do so by more than one.
+TEST_F(BrokenStreamTest, AStreamWhoseIdsGrowByStepsGoesOnAtItsNextEvent)
+{
+    m_answer = [this](const std::string &head) {
+        return m_requests == 1
+            ? ReplicaScript{.answer = streamHead(head) + chunk(event(10)) + chunk(event(20)),
+                            .close = true}
+            : ReplicaScript{streamHead(head) + chunk(event(30)) + LastChunk};
+    };
+    const std::string answer = exchange(callRequest("/read/x", "a", "input\n"), LastChunk);
+    EXPECT_EQ(bodyOf(answer), chunk(event(10)) + chunk(event(20)) + chunk(event(30)) + LastChunk);
+}
+
 // The first replica ended after its last event and before the end of the stream.
 TEST_F(BrokenStreamTest, AfterTheLastEventTheNextReplicaOnlyEndsTheStream)
 {
