Send a call to no other replica once its caller has a part of a stream that can't go on

A replica answers on a route for calls that may be repeated with an event stream, which is passed on event by event, and breaks off. The call was sent to the next replica, which knows of no earlier events, and what it wrote after the same ids followed the first run's events: 1 and 2 of one run, 3 and 4 of another, ended as complete.

Cause: a call was retried if its route allows to repeat it, whether or not a part of the answer had been passed on. Only streaming routes that may be resumed can go on then.

Before: AStreamOnARouteWithoutStreamsDoesNotGoOnElsewhere fails (3 requests where 1 is due).

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -111,10 +111,15 @@
         return route.kind == RequestKind::Idempotent
             || (route.kind == RequestKind::Stream && route.resumable);
     }
+    /** Another replica can go on with the part of a stream that the caller has. */
+    bool canContinue() const
+    {
+        return dispatch.route->kind == RequestKind::Stream && !position.endsWithoutId;
+    }
     bool canRetry() const
     {
         return isRepeatable() && possibleRuns < dispatch.route->maxReplicas
-            && !position.endsWithoutId;
+            && (!responseStarted || canContinue());
     }
     /** Accounts for the output and @p pending bytes more; false if there is no room for them. */
     bool hold(std::size_t pending)
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -319,6 +319,20 @@
     EXPECT_EQ(m_requests, 1);
 }
 
+// The first replica sent events on a route whose answers are no streams. The next one began anew,
+// and its later events followed those of the first.
+TEST_F(BrokenStreamTest, AStreamOnARouteWithoutStreamsDoesNotGoOnElsewhere)
+{
+    m_answer = [this](const std::string &head) {
+        return m_requests == 1
+            ? ReplicaScript{.answer = streamHead(head) + eventsFrom(1, 2), .close = true}
+            : ReplicaScript{streamHead(head) + eventsFrom(1, 4) + LastChunk};
+    };
+    const std::string answer = exchange(callRequest("/look/x", "a", "body"), LastChunk);
+    EXPECT_EQ(bodyOf(answer), eventsFrom(1, 2) + Closed);
+    EXPECT_EQ(m_requests, 1);
+}
+
 TEST_F(BrokenStreamTest, AfterAnErrorTheStreamGoesOnWhereAttemptsAreLeft)
 {
     std::vector<Continuation> failures = ErrorAnswers;
