Take a response's head among a stream's events for no event

A replica writes another answer into a stream that ends with its connection, or into its chunks: the caller got that head and its body as events ('HTTP/1.1 200 OK, Attempt-Id, Content-Length, wrong text') and the end of the stream as complete.

Cause: lines up to a blank line were an event, whatever they say. A line that begins with 'HTTP/1.' is no field of an event; the stream has broken off there, and a stream that may be resumed goes on elsewhere.

Before: AHeadInTheMiddleOfAStreamIsNoEvent fails with the head in the caller's stream.

--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -551,8 +551,9 @@
     for (;;) {
         while (std::optional<StreamEvent> event = scanner.next()) {
             const EventPlace place = placeOf(*event, progress.position, continues);
-            if (place == EventPlace::Elsewhere) {
-                progress.observation.failureReason = "another position";
+            if (event->hasStatusLine || place == EventPlace::Elsewhere) {
+                progress.observation.failureReason =
+                    event->hasStatusLine ? "another answer in the stream" : "another position";
                 co_return AttemptResult::Incomplete;
             }
             if (place == EventPlace::Repeated) {
--- a/net/event_stream_parser.cpp
+++ b/net/event_stream_parser.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** No field of an event has a name that begins so. */
+constexpr std::string_view HttpVersion = "HTTP/1.";
+
 std::string_view withoutCarriageReturn(std::string_view line)
 {
     return !line.empty() && line.back() == '\r' ? line.substr(0, line.size() - 1) : line;
@@ -65,6 +68,8 @@
             m_start = position;
             return event;
         }
+        event.hasStatusLine =
+            event.hasStatusLine || line.substr(0, HttpVersion.size()) == HttpVersion;
         parseLine(line, event, hasData);
     }
 }
--- a/net/event_stream_parser.h
+++ b/net/event_stream_parser.h
@@ -17,6 +17,8 @@
     std::string data;
     /** The id of the event, if it is an integer. */
     std::optional<std::int64_t> id;
+    /** One of its lines is the status line of a response: its sender has begun another answer. */
+    bool hasStatusLine = false;
 };
 
 /** Longest event of a stream. */
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -308,6 +308,24 @@
     expectBrokenOff(continuations);
 }
 
+// A head in a body that ends with its connection was passed on as an event.
+TEST_F(BrokenStreamTest, AHeadInTheMiddleOfAStreamIsNoEvent)
+{
+    for (const bool isChunked : {false, true}) {
+        m_answer = [isChunked](const std::string &head) {
+            const std::string first = event(1) + event(2);
+            const std::string second = completeResponse(head, "wrong text\n\n");
+            const std::string body =
+                isChunked ? chunk(first) + chunk(second) + LastChunk : first + second;
+            return ReplicaScript{
+                .answer = sealedResponse(head, EventStream + (isChunked ? Chunked : ""), body),
+                .close = true};
+        };
+        const std::string answer = exchange(callRequest("/once/x", "a", "input\n"), Closed);
+        EXPECT_EQ(bodyOf(answer), eventsFrom(1, 2) + Closed);
+    }
+}
+
 // The next replica repeated such a stream from its start.
 TEST_F(BrokenStreamTest, AStreamWithoutIdsDoesNotGoOnElsewhere)
 {
