Read on after interim heads to servers of the own interface and the store

A backend server sends '100 Continue' or '103 Early Hints' before its answer, or stops after it: a service's call was recorded as run with status 100 and an empty body, and its caller got that. A model's call failed although its answer was there; a store call had status 100 in place of its answer.

Cause: net/http_client took the first head for the answer's, and a head with 1xx is complete at once. The connections to replicas of the platform read on by a loop of their own. Both use net/response_head.h now.

--- a/backends/replica_connection.cpp
+++ b/backends/replica_connection.cpp
@@ -1,5 +1,6 @@
 #include "backends/replica_connection.h"
 
+#include "net/response_head.h"
 #include "net/socket_peek.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -30,8 +31,6 @@
 constexpr int AcknowledgementTimeoutMillis = 2'000;
 /** Longest head of an answer. */
 constexpr std::uint32_t MaxHeadBytes = 16'384;
-/** Heads with a status of 1xx before the answer's own. */
-constexpr int MaxInterimHeads = 8;
 /** What is read and not yet parsed: a head, or the extension of a chunk. */
 constexpr std::size_t MaxUnparsedBytes = 20'480;
 /** Idle connections kept per server. */
@@ -49,7 +48,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer{MaxUnparsedBytes};
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<ResponseParser> parser;
 };
 
 ReplicaConnection::ReplicaConnection(const asio::any_io_executor &executor, const Clock &clock)
@@ -99,22 +98,13 @@
 
 asio::awaitable<bool> ReplicaConnection::readHead(HttpResponse &head, SteadyTime until)
 {
-    beast::error_code error;
-    for (int interimHeads = 0;; ++interimHeads) {
-        m_state->parser.emplace();
-        m_state->parser->header_limit(MaxHeadBytes);
-        m_state->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-        m_state->stream.expires_at(until);
-        co_await http::async_read_header(m_state->stream, m_state->buffer, *m_state->parser,
-                                         redirect_error(use_awaitable, error));
-        noteError(error);
-        const bool isInterim = !error && m_state->parser->get().result_int() / 100 == 1;
-        if (error || (isInterim && interimHeads >= MaxInterimHeads)) {
-            co_return false;
-        }
-        if (!isInterim) {
-            break;
-        }
+    m_state->stream.expires_at(until);
+    const ResponseLimits limits{MaxHeadBytes, std::numeric_limits<std::uint64_t>::max()};
+    const beast::error_code error =
+        co_await readResponseHead(m_state->stream, m_state->buffer, m_state->parser, limits);
+    noteError(error);
+    if (error) {
+        co_return false;
     }
     const auto &message = m_state->parser->get();
     head.status = message.result_int();
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include "net/response_head.h"
 #include "net/socket_peek.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -79,8 +80,7 @@
 /** Appends the next part of a body to @p body, which is not accounted for yet. */
 template <typename Stream>
 asio::awaitable<beast::error_code> readPart(Stream &stream, beast::flat_buffer &buffer,
-                                            http::response_parser<http::buffer_body> &parser,
-                                            std::string &body)
+                                            ResponseParser &parser, std::string &body)
 {
     const std::size_t before = body.size();
     body.resize(before + ReadBufferBytes);
@@ -106,15 +106,15 @@
         co_return;
     }
     beast::flat_buffer buffer{MaxUnparsedBytes};
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(MaxBodyBytes);
-    co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
+    std::optional<ResponseParser> parser;
+    const ResponseLimits limits{.body = MaxBodyBytes};
+    error = co_await readResponseHead(stream, buffer, parser, limits);
     if (received != nullptr) {
         result.holding = std::make_shared<HeldBytes>(*received);
     }
     std::string body;
-    while (!error && !parser.is_done()) {
-        error = co_await readPart(stream, buffer, parser, body);
+    while (!error && !parser->is_done()) {
+        error = co_await readPart(stream, buffer, *parser, body);
         if (result.holding != nullptr && !result.holding->resize(body.size())) {
             result.noRoom = true;
             result.error = "no room for the answer";
@@ -126,7 +126,7 @@
         result.error = "read: " + error.message();
         co_return;
     }
-    result.response = responseHead(parser.get());
+    result.response = responseHead(parser->get());
     result.response.body = std::move(body);
     result.complete = true;
 }
@@ -147,31 +147,31 @@
         co_return;
     }
     beast::flat_buffer buffer{MaxUnparsedBytes};
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(MaxStreamBytes);
+    std::optional<ResponseParser> parser;
+    const ResponseLimits limits{.body = MaxStreamBytes};
     lowest.expires_after(responseIdleTimeout);
-    co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
+    error = co_await readResponseHead(stream, buffer, parser, limits);
     if (error) {
         result.error = "read: " + error.message();
         co_return;
     }
-    result.response = responseHead(parser.get());
+    result.response = responseHead(parser->get());
     if (sink.onHeader && !co_await sink.onHeader(result.response)) {
         result.error = "ended by the receiver";
         co_return;
     }
     std::string chunk(ReadBufferBytes, '\0');
-    while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
+    while (!parser->is_done()) {
+        parser->get().body().data = chunk.data();
+        parser->get().body().size = chunk.size();
         lowest.expires_after(responseIdleTimeout);
-        co_await http::async_read_some(stream, buffer, parser,
+        co_await http::async_read_some(stream, buffer, *parser,
                                        redirect_error(use_awaitable, error));
         if (error && error != http::error::need_buffer) {
             result.error = "read: " + error.message();
             co_return;
         }
-        const std::size_t size = chunk.size() - parser.get().body().size;
+        const std::size_t size = chunk.size() - parser->get().body().size;
         const std::string data = chunk.substr(0, size);
         if (size > 0 && !co_await sink.onData(data)) {
             result.error = "ended by the receiver";
--- a/tests/support/closing_server.h
+++ b/tests/support/closing_server.h
@@ -15,17 +15,25 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace boragepath {
 
-/** Answers each request with the same bytes, and then closes or resets the connection. */
+/**
+ * Answers the requests of each connection with the same bytes in turn, and closes or resets it
+ * after the last ones. Requests have no bodies, or ones that arrive with their heads.
+ */
 class ClosingServer
 {
 public:
     ClosingServer(boost::asio::io_context &context, const Endpoint &endpoint, std::string answer,
                   bool resets)
+        : ClosingServer(context, endpoint, std::vector<std::string>{std::move(answer)}, resets)
+    { }
+    ClosingServer(boost::asio::io_context &context, const Endpoint &endpoint,
+                  std::vector<std::string> answers, bool resets)
         : m_acceptor(context, {boost::asio::ip::make_address(endpoint.address), endpoint.port})
-        , m_answer(std::move(answer))
+        , m_answers(std::move(answers))
         , m_resets(resets)
     {
         boost::asio::co_spawn(context, accept(), boost::asio::detached);
@@ -47,12 +55,15 @@
     {
         using boost::asio::redirect_error;
         using boost::asio::use_awaitable;
-        std::string request;
         boost::system::error_code error;
-        co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request),
-                                               "\r\n\r\n", redirect_error(use_awaitable, error));
-        co_await boost::asio::async_write(socket, boost::asio::buffer(m_answer),
-                                          redirect_error(use_awaitable, error));
+        for (const std::string &answer : m_answers) {
+            std::string request;
+            co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request),
+                                                   "\r\n\r\n",
+                                                   redirect_error(use_awaitable, error));
+            co_await boost::asio::async_write(socket, boost::asio::buffer(answer),
+                                              redirect_error(use_awaitable, error));
+        }
         if (m_resets) {
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
         }
@@ -60,7 +71,7 @@
     }
 
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::string m_answer;
+    std::vector<std::string> m_answers;
     bool m_resets;
 };
 
