The product's interface, too, takes no requests before it ends

Callers saw: on the product's own interface a VM that had left relayed what came on kept connections to the programs' owners, until ten seconds later the process ended and cut the relays; a request that was read in the moment of the end got no answer.

Cause: the server had no way to stop reading requests on open connections, and the end was decided on a count of requests that the traffic threads go on to raise.

Change: HttpServer::drain() closes each connection after its answer, from the signal on; HttpServer::close() closes idle connections and refuses what is read afterwards, as not-run. The process ends when no connection is left; relayed calls are waited for as long as the VM waits for its own.

--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -1,6 +1,7 @@
 #include "main/daemon.h"
 
 #include "backends/backend_client.h"
+#include "callers/answers.h"
 #include "core/logging.h"
 
 #include <absl/strings/str_cat.h>
@@ -20,8 +21,10 @@
 
 constexpr Milliseconds TickInterval{10};
 constexpr Milliseconds ShutdownPollInterval{20};
-/** Limit for sending the last answers to their callers during a planned stop. */
-constexpr Seconds ShutdownTimeout{10};
+/** Limit for the calls that were relayed to other VMs, and for sending the last answers to their
+ * callers, during a planned stop. As long as a VM waits for its own calls before it leaves. */
+constexpr Seconds ShutdownTimeout{600};
+constexpr Milliseconds LeftRetryAfter{1'000};
 
 HttpLimits httpLimitsOf(const Settings &settings)
 {
@@ -121,6 +124,7 @@
 
 void Daemon::stop()
 {
+    m_server.drain();
     asio::post(m_control, [this] { m_node.leave(); });
 }
 
@@ -144,11 +148,15 @@
 {
     if (!m_shutdownStarted.has_value()) {
         m_shutdownStarted = m_clock.now();
-        m_server.stopListening();
+        // Requests that come on open connections would be relayed and then cut.
+        m_server.close(refusalResponse(
+            makeRefusal(Verdict::NotRun, Reason::Leaving, "this VM has left", LeftRetryAfter),
+            CallNumber()));
     }
-    // Answers that the control core has produced must still be sent to their callers.
-    const bool idle = m_server.requestsInFlight() == 0;
-    if (idle || m_clock.now() >= *m_shutdownStarted + ShutdownTimeout) {
+    // Answers that the control core has produced must still be sent to their callers, and calls
+    // that were relayed to other VMs are still under way.
+    if (m_server.isClosed() || m_clock.now() >= *m_shutdownStarted + ShutdownTimeout) {
+        LogLine("stopped").add("calls", m_server.requestsInFlight()).info();
         m_control.stop();
         return;
     }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -9,7 +9,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
 
-#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -39,23 +38,31 @@
     /** Listens on @p endpoint; throws boost::system::system_error on failure. */
     void listen(const Endpoint &endpoint);
     void setTlsContext(std::shared_ptr<boost::asio::ssl::context> tls) { m_tls = std::move(tls); }
-    /** Stops accepting connections; open ones are still served. */
-    void stopListening();
+    /** From now on each connection is closed after its current response. */
+    void drain();
+    /**
+     * Stops accepting connections and closes those that are idle. Requests that are read from now
+     * on get @p refusal; those that were read before are still served. To be called once.
+     */
+    void close(const HttpResponse &refusal);
+    /** True once no connection is left after close(). */
+    bool isClosed() const;
     /** Number of requests that are being answered. */
-    std::int64_t requestsInFlight() const { return *m_requests; }
+    std::int64_t requestsInFlight() const;
+
+    /** State that the server shares with its connections; lives as long as any of them. */
+    struct Shared;
 
 private:
     boost::asio::awaitable<void> accept(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor);
+    void stopListening();
 
     boost::asio::io_context &m_context;
     HttpLimits m_limits;
     HttpHandler m_handler;
     std::shared_ptr<boost::asio::ssl::context> m_tls;
     std::shared_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
-    std::shared_ptr<std::atomic<std::int64_t>> m_connections =
-        std::make_shared<std::atomic<std::int64_t>>(0);
-    std::shared_ptr<std::atomic<std::int64_t>> m_requests =
-        std::make_shared<std::atomic<std::int64_t>>(0);
+    std::shared_ptr<Shared> m_shared;
 };
 
 } // namespace boragepath
