An engine's stream with an error or another answer in it has broken off

An engine that fails within a stream reports it as an event ('error') and still writes [DONE]: the caller got the error's text in its stream, and the part was recorded as the whole answer and replayed later. A second answer in the same body, in the middle or after [DONE], was added to the first ('onetwo').

The stream breaks off at an error event and at a response's head now, and what follows the end marker belongs to no answer. It is split by net/event_stream_parser, as on the platform; the second splitter is gone. wire_test checks that parser in its place: the list of events is still compared as a whole, and now has the comment as an event without data, and no rest may be left.

Before: AHeadInTheMiddleOfAStreamBreaksItOff, WhatFollowsTheEndOfAStreamBelongsToNoAnswer and AnErrorEventBreaksTheStreamOff fail.

--- a/backends/backend_client.cpp
+++ b/backends/backend_client.cpp
@@ -24,19 +24,36 @@
 constexpr unsigned HttpUnavailable = 503;
 /** Servers report the programs that they have not used for this long. */
 constexpr int IdleProgramSeconds = 20;
+/** Data of the event that ends a stream. */
+constexpr const char *EndMarker = "[DONE]";
 constexpr const char *AnswerTooLong = "the answer is too long";
 /** Longest body of an error status, which only the log and the caller's error text show. */
 constexpr std::size_t MaxErrorBodyBytes = 16UL * 1024;
 
-/** Adds one event of a stream to the answer, its usage and its finish reason. */
-void recordEvent(const std::string &data, BackendOutcome &outcome)
+/** The object that an event holds; empty if it holds another text. */
+json::object objectOf(const StreamEvent &event)
 {
     json::error_code error;
-    const json::value value = json::parse(data, error);
-    if (error || !value.is_object()) {
-        return;
+    json::value value = json::parse(event.data, error);
+    return error || !value.is_object() ? json::object() : std::move(value.get_object());
+}
+
+/** Why a stream broke off at this event, though more may follow; empty if it did not. */
+std::string problemOf(const StreamEvent &event, const json::object &data)
+{
+    if (event.hasStatusLine) {
+        return "another answer within the stream";
     }
-    const json::object &event = value.get_object();
+    const json::object *error = objectAt(data, "error");
+    if (error == nullptr) {
+        return "";
+    }
+    return absl::StrCat("error within the stream: ", stringAt(*error, "message"));
+}
+
+/** Adds one event of a stream to the answer, its usage and its finish reason. */
+void recordEvent(const json::object &event, BackendOutcome &outcome)
+{
     const json::object *usage = objectAt(event, "usage");
     if (usage != nullptr) {
         outcome.usage.promptTokens = integerAt(*usage, "prompt_tokens");
@@ -104,10 +121,10 @@
     {
         const std::size_t answerBytes = outcome.answer.size() + rawBody.size();
         const bool isErrorTooLong = outcome.status != HttpOk && rawBody.size() > MaxErrorBodyBytes;
-        if (answerBytes > MaxStoredTextBytes || splitter.incompleteBytes() > MaxEventBytes
+        if (answerBytes > MaxStoredTextBytes || scanner.pendingBytes() > MaxEventBytes
             || isErrorTooLong) {
             problem = AnswerTooLong;
-        } else if (!held.resize(answerBytes + splitter.incompleteBytes())) {
+        } else if (!held.resize(answerBytes + scanner.pendingBytes())) {
             problem = "no room for the answer";
         }
         return problem.empty();
@@ -117,29 +134,40 @@
     /** Why the answer was not read to its end; empty if it was. */
     std::string problem;
     BackendOutcome outcome;
-    ServerSentEventSplitter splitter;
+    EventStreamParser scanner;
     /** The end marker of the stream has arrived. */
     bool done = false;
     /** The body of a service's answer or of an error status. */
     std::string rawBody;
 };
 
-asio::awaitable<bool> handleStreamData(StreamState &state, const std::string &data,
+asio::awaitable<bool> handleStreamData(StreamState &state, const std::string &bytes,
                                        const StreamEventHandler &events)
 {
     if (state.outcome.status != HttpOk) {
-        state.rawBody += data;
+        state.rawBody += bytes;
         co_return state.hold();
     }
-    for (const std::string &event : state.splitter.addBytes(data)) {
-        if (event == "[DONE]") {
+    state.scanner.add(bytes);
+    while (std::optional<StreamEvent> event = state.scanner.next()) {
+        if (state.done) {
+            continue;
+        }
+        const json::object data = objectOf(*event);
+        state.problem = problemOf(*event, data);
+        if (!state.problem.empty()) {
+            co_return false;
+        }
+        if (event->data == EndMarker) {
             state.done = true;
+        }
+        if (event->data.empty() || state.done) {
             continue;
         }
-        recordEvent(event, state.outcome);
+        recordEvent(data, state.outcome);
         if (events) {
             state.outcome.forwarded = true;
-            if (!co_await events(event)) {
+            if (!co_await events(event->data)) {
                 co_return false;
             }
         }
@@ -149,34 +177,6 @@
 
 } // namespace
 
-std::vector<std::string> ServerSentEventSplitter::addBytes(const std::string &bytes)
-{
-    m_incomplete += bytes;
-    std::vector<std::string> events;
-    std::size_t start = 0;
-    for (;;) {
-        const std::size_t end = m_incomplete.find("\n\n", start);
-        if (end == std::string::npos) {
-            break;
-        }
-        std::string data;
-        const std::vector<std::string> lines =
-            absl::StrSplit(m_incomplete.substr(start, end - start), '\n');
-        for (const std::string &line : lines) {
-            if (absl::StartsWith(line, "data:")) {
-                const std::size_t skip = absl::StartsWith(line, "data: ") ? 6 : 5;
-                data += line.substr(skip);
-            }
-        }
-        if (!data.empty()) {
-            events.push_back(std::move(data));
-        }
-        start = end + 2;
-    }
-    m_incomplete.erase(0, start);
-    return events;
-}
-
 asio::awaitable<BackendOutcome> runBackendCall(BackendCall call, const Clock &clock,
                                                StreamEventHandler events, ReceiveBudget &received)
 {
--- a/backends/backend_client.h
+++ b/backends/backend_client.h
@@ -43,18 +43,4 @@
 /** Reads the state of a backend server; not answered if that failed. */
 boost::asio::awaitable<BackendStatus> readBackendStatus(Endpoint endpoint, ReceiveBudget &received);
 
-/** Extracts server-sent events from a byte stream that arrives in arbitrary pieces. */
-class ServerSentEventSplitter
-{
-public:
-    /** Adds bytes and returns the data of each event that they complete. */
-    std::vector<std::string> addBytes(const std::string &bytes);
-    /** Length of the event that is not complete yet. */
-    std::size_t incompleteBytes() const { return m_incomplete.size(); }
-
-private:
-    /** Bytes of an event that is not complete yet. */
-    std::string m_incomplete;
-};
-
 } // namespace boragepath
--- a/load/caller_client.cpp
+++ b/load/caller_client.cpp
@@ -1,7 +1,7 @@
 #include "load/caller_client.h"
 
-#include "backends/backend_client.h"
 #include "core/json_access.h"
+#include "net/event_stream_parser.h"
 #include "net/http_client.h"
 
 #include <absl/strings/numbers.h>
@@ -173,7 +173,7 @@
 asio::awaitable<CallReport> CallerClient::callOnce(const CallSpec &spec, Endpoint endpoint)
 {
     CallReport report;
-    ServerSentEventSplitter splitter;
+    EventStreamParser scanner;
     std::string plainBody;
     bool streaming = false;
     const auto started = SteadyClock::now();
@@ -196,8 +196,9 @@
             report.longestGap = std::max<Duration>(report.longestGap, now - lastToken);
         }
         lastToken = now;
-        for (const std::string &event : splitter.addBytes(data)) {
-            readStreamEvent(event, report);
+        scanner.add(data);
+        while (const std::optional<StreamEvent> event = scanner.next()) {
+            readStreamEvent(event->data, report);
         }
         co_return true;
     };
--- a/tests/backends/broken_answer_test.cpp
+++ b/tests/backends/broken_answer_test.cpp
@@ -161,6 +161,37 @@
     EXPECT_EQ(result.outcome.answer, "word");
 }
 
+// The events of a second answer in the same body were added to the first one's.
+TEST(BackendBrokenAnswer, AHeadInTheMiddleOfAStreamBreaksItOff)
+{
+    const CallResult result =
+        runCall(Ok + "\r\n" + event("one") + Ok + "\r\n" + event("two") + Done, false);
+    EXPECT_FALSE(result.outcome.complete);
+    EXPECT_EQ(result.outcome.answer, "one");
+    EXPECT_EQ(result.forwarded.size(), 1U);
+}
+
+TEST(BackendBrokenAnswer, WhatFollowsTheEndOfAStreamBelongsToNoAnswer)
+{
+    const CallResult result =
+        runCall(Ok + "\r\n" + event("one") + Done + event("two") + Done, false);
+    EXPECT_TRUE(result.outcome.complete);
+    EXPECT_EQ(result.outcome.answer, "one");
+    EXPECT_EQ(result.forwarded.size(), 1U);
+}
+
+// Engines report a failure within a stream as an event, and still write the end marker. The part
+// was recorded as the whole answer, and the error's text stood in the caller's stream.
+TEST(BackendBrokenAnswer, AnErrorEventBreaksTheStreamOff)
+{
+    const std::string error = R"(data: {"error":{"message":"engine failed"}})"
+                              "\n\n";
+    const CallResult result = runCall(Ok + "\r\n" + event("one") + error + Done, false);
+    EXPECT_FALSE(result.outcome.complete);
+    EXPECT_EQ(result.forwarded.size(), 1U);
+    EXPECT_THAT(result.outcome.error, testing::HasSubstr("engine failed"));
+}
+
 TEST(StoreBrokenAnswer, AnAnswerThatStopsIsNotComplete)
 {
     for (const std::string &bytes : CutAnswers) {
--- a/tests/peers/wire_test.cpp
+++ b/tests/peers/wire_test.cpp
@@ -1,6 +1,6 @@
 // Encodings between processes: what is encoded decodes to the same, anything else is rejected.
 
-#include "backends/backend_client.h"
+#include "net/event_stream_parser.h"
 #include "peers/datagram_codec.h"
 #include "platform/table_client.h"
 
@@ -55,17 +55,19 @@
 RC_GTEST_PROP(EventSplitterProperty, EventsDoNotDependOnChunkBoundaries, ())
 {
     const std::string stream = "data: one\n\ndata: two\n\n: comment\n\ndata: [DONE]\n\n";
-    ServerSentEventSplitter splitter;
+    EventStreamParser parser;
     std::vector<std::string> events;
     std::size_t position = 0;
     while (position < stream.size()) {
         const auto size = *rc::gen::inRange<std::size_t>(1, 12);
-        for (const std::string &event : splitter.addBytes(stream.substr(position, size))) {
-            events.push_back(event);
+        parser.add(stream.substr(position, size));
+        while (const std::optional<StreamEvent> event = parser.next()) {
+            events.push_back(event->data);
         }
         position += size;
     }
-    RC_ASSERT(events == (std::vector<std::string>{"one", "two", "[DONE]"}));
+    RC_ASSERT(events == (std::vector<std::string>{"one", "two", "", "[DONE]"}));
+    RC_ASSERT(!parser.hasPartialEvent());
 }
 
 TEST(TableClientTest, TransactionIsEncodedAsThePublishedApiRequires)
