End a stream that broke off without an end, on the own interface too

The VM that owns a program breaks off while another one passes its stream on: the caller got 'data: {"choidata: {"error": ...', that is the text of an error in the middle of an event, then [DONE] and the end of the body as complete. If a backend server broke off, the caller got an error event, [DONE] and the end of the body.

Cause: relay() passed bytes on as they came and wrote an error and the end after them; sendAnswer() ended each stream alike, answered or not.

relay() passes on whole events only. Where the VM itself ran the call, its last event still has the error and the verdict, which callers act on.

--- a/callers/answers.cpp
+++ b/callers/answers.cpp
@@ -129,8 +129,7 @@
 {
     std::string text;
     if (answer.refusal.has_value()) {
-        text = eventText(json::serialize(refusalObject(*answer.refusal, answer.nextCall)));
-        return text + eventText("[DONE]");
+        return eventText(json::serialize(refusalObject(*answer.refusal, answer.nextCall)));
     }
     if (answer.replayed) {
         json::object choice{
--- a/callers/answers.h
+++ b/callers/answers.h
@@ -16,8 +16,10 @@
 /** The HTTP header of a streamed answer. */
 HttpResponse streamHeader();
 
-/** The last server-sent events of a streamed answer; for a replayed call these include the whole
- * recorded answer. */
+/**
+ * The last server-sent events of a streamed answer; for a replayed call these include the whole
+ * recorded answer. Those of a refusal have no end marker: the stream has broken off.
+ */
 std::string finalStreamEvents(const CallAnswer &answer);
 
 /** Encodes @p data as one server-sent event. */
--- a/callers/caller_api.cpp
+++ b/callers/caller_api.cpp
@@ -3,6 +3,7 @@
 #include "backends/backend_client.h"
 #include "callers/answers.h"
 #include "core/logging.h"
+#include "net/event_stream_parser.h"
 #include "net/http_client.h"
 
 #include <absl/strings/match.h>
@@ -34,6 +35,19 @@
     return false;
 }
 
+/** Passes on the events that have arrived whole; false if nothing sound can follow them. */
+asio::awaitable<bool> sendWholeEvents(EventStreamParser &scanner, HttpResponder &responder)
+{
+    std::string events;
+    bool isSound = true;
+    while (const std::optional<StreamEvent> event = scanner.next()) {
+        isSound = isSound && !event->hasStatusLine;
+        events += isSound ? event->text : "";
+    }
+    const bool sent = co_await responder.sendChunk(events);
+    co_return sent &&isSound;
+}
+
 HttpRequest relayedRequest(const HttpRequest &request, const VmId &vm)
 {
     HttpRequest result = request;
@@ -158,6 +172,10 @@
 {
     if (responder.streaming()) {
         co_await responder.sendChunk(finalStreamEvents(answer));
+        if (answer.refusal.has_value()) {
+            responder.breakOff();
+            co_return;
+        }
         co_await responder.endStream();
         co_return;
     }
@@ -215,6 +233,7 @@
 {
     HttpResponseSink sink;
     std::string bufferedBody;
+    EventStreamParser scanner;
     HeldBytes held(m_received);
     bool streamStarted = false;
     HttpResponse header;
@@ -231,7 +250,9 @@
     };
     sink.onData = [&](const std::string &data) -> asio::awaitable<bool> {
         if (streamStarted) {
-            co_return co_await responder.sendChunk(data);
+            scanner.add(data);
+            co_return held.resize(scanner.pendingBytes())
+                && co_await sendWholeEvents(scanner, responder);
         }
         bufferedBody += data;
         co_return held.resize(bufferedBody.size());
@@ -245,13 +266,11 @@
         result = co_await httpsStream(owner, forwarded, settings.connectionIdleTimeout, sink);
     }
     if (streamStarted) {
-        if (!result.complete) {
-            CallAnswer ownerLost;
-            ownerLost.refusal = makeRefusal(Verdict::MayHaveRun, Reason::RecordLost,
-                                            "the program's owner was lost", settings.leaseTerm);
-            co_await responder.sendChunk(finalStreamEvents(ownerLost));
+        if (result.complete && !scanner.hasPartialEvent()) {
+            co_await responder.endStream();
+        } else {
+            responder.breakOff();
         }
-        co_await responder.endStream();
         co_return;
     }
     if (result.complete) {
--- a/net/http_responder.h
+++ b/net/http_responder.h
@@ -8,7 +8,10 @@
 
 namespace boragepath {
 
-/** Answers one request: either by send(), or by beginStream(), sendChunk() and endStream(). */
+/**
+ * Answers one request: either by send(), or by beginStream(), sendChunk() and then endStream() or
+ * breakOff().
+ */
 class HttpResponder
 {
 public:
@@ -22,6 +25,8 @@
     virtual boost::asio::awaitable<bool> sendChunk(const std::string &data) = 0;
     /** Sends the chunk that ends the body. */
     virtual boost::asio::awaitable<bool> endStream() = 0;
+    /** Ends a body that is not complete, by the end of the connection without that chunk. */
+    virtual void breakOff() = 0;
     /** True after beginStream() was called. */
     virtual bool streaming() const = 0;
 };
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -146,6 +146,7 @@
         co_return updateConnectionState(error);
     }
 
+    void breakOff() override { m_connectionLost = true; }
     bool streaming() const override { return m_streaming; }
     /** The connection can serve another request. */
     bool reusable() const { return !m_connectionLost && m_keepAlive; }
