Soak: check that accepted calls are not lost

The soak checked of LOST only that a turn that was answered whole is not answered 404, and every request opened a connection of its own, so that no run could show what callers on kept connections lose around planned stops.

- Callers keep connections and use them again; some use open connections and addresses that they once learned until the process is gone, after SIGTERM and after the directory has withdrawn the VM.
A quarter of the programs use most of their budget; one call in ten is slow.
- Checks over recorded facts: LOST-STOP, LOST-RELOAD, LOST-CONFIG, LOST-KEPT, LOST-TURN, LOST-POWER, and 410 like 404.

--- a/misc/soak.sh
+++ b/misc/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Soak test: runs real daemons under random faults and checks the guarantees meanwhile.
 # Usage: misc/soak.sh BUILD_FOLDER [--seed N] [--minutes M | --seconds S] [--count C] [--vms V]
-#        [--organisations]
+#        [--organisations] [--planned | --power-loss]
 #
 # Runs C seeds in turn, starting with N. The logs of a failed seed are kept in
 # BUILD_FOLDER/soak/SEED and can be read with `boragepath explain --log`.
@@ -20,7 +20,7 @@
     --minutes) seconds=$(($2 * 60)) ;;
     --seconds) seconds=$2 ;;
     --count) count=$2 ;;
-    --organisations)
+    --organisations | --planned | --power-loss)
         options+=("$1")
         shift
         continue
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_client.h"
 #include "net/sleep.h"
+#include "soak/lost_checks.h"
 #include "standin/platform_replica.h"
 
 #include <absl/strings/numbers.h>
@@ -11,6 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <iterator>
+
 namespace boragepath::soak {
 
 namespace asio = boost::asio;
@@ -18,13 +21,14 @@
 
 namespace {
 
-constexpr Milliseconds CallDeadline{3'000};
 constexpr Milliseconds ResolveInterval{1'000};
 constexpr Milliseconds ResolveTimeout{1'000};
 constexpr Milliseconds RetryPause{150};
 /** A stream that delivers nothing for this long is given up. */
 constexpr Milliseconds StreamIdleTimeout{2'500};
 constexpr int MaxAttempts = 6;
+/** Turns that continue a conversation are tried more often, since they must not be lost. */
+constexpr int MaxTurnAttempts = 8;
 /** Between two requests that crash replicas; each is one of three. */
 constexpr Milliseconds MinCrashingPause{300};
 constexpr Milliseconds MaxCrashingPause{2'500};
@@ -40,6 +44,19 @@
 constexpr double StoredTurnShare = 0.6;
 constexpr double ToolShare = 0.6;
 constexpr double SubAgentShare = 0.15;
+constexpr double SlowShare = 0.1;
+/** Fraction of programs that use most of their budget, and what they are given of their most. */
+constexpr double FullUseShare = 0.25;
+constexpr double FullUseBudget = 0.7;
+constexpr int MinFullUseTurns = 8;
+constexpr int FullUseTurnRange = 5;
+constexpr Milliseconds MaxFullUsePause{500};
+/** Fractions of calls that go on a kept connection, on one that is open whatever the directory
+ * says of its VM, and to any address of which it once told. */
+constexpr double KeptShare = 0.5;
+constexpr double OpenConnectionShare = 0.3;
+constexpr double KnownAddressShare = 0.15;
+constexpr std::size_t MaxContinued = 60;
 constexpr double DisconnectShare = 0.03;
 /** Fraction of resumable streams that their callers break off after some events. */
 constexpr double BreakOffShare = 0.1;
@@ -84,6 +101,12 @@
     return "/turn/x";
 }
 
+/** Some calls take replicas long. */
+std::string slowOrNot(const std::string &target, double fraction)
+{
+    return fraction < SlowShare ? absl::StrCat(target, PlatformReplica::SlowMark) : target;
+}
+
 /** A refusal guarantees that the request has not run, so that it is safe to retry. */
 bool isRefusal(unsigned status)
 {
@@ -92,12 +115,14 @@
 
 } // namespace
 
-Callers::Callers(asio::io_context &context, InvariantChecker &checker,
+Callers::Callers(asio::io_context &context, const Clock &clock, InvariantChecker &checker,
                  std::vector<Endpoint> directoryEndpoints,
                  const std::vector<SoakOrganisation> &organisations, std::uint64_t seed)
     : m_context(context)
     , m_checker(checker)
     , m_directoryEndpoints(std::move(directoryEndpoints))
+    , m_connections(clock)
+    , m_clock(clock)
     , m_random(seed)
     , m_crashRandom(seed)
     , m_organisations(organisations)
@@ -114,11 +139,13 @@
     return absl::StrCat(prefix, "-", m_nextId++);
 }
 
-void Callers::start(double perSecond)
+void Callers::start(double perSecond, bool crashes)
 {
     asio::co_spawn(m_context, refreshAddresses(), asio::detached);
     asio::co_spawn(m_context, startPrograms(perSecond), asio::detached);
-    asio::co_spawn(m_context, sendCrashingRequests(), asio::detached);
+    if (crashes) {
+        asio::co_spawn(m_context, sendCrashingRequests(), asio::detached);
+    }
     if (!m_organisations.empty()) {
         asio::co_spawn(m_context, sendImproperRequests(), asio::detached);
     }
@@ -151,6 +178,7 @@
     while (!m_stopped) {
         std::vector<Endpoint> frontEndpoints = co_await resolve();
         if (!frontEndpoints.empty()) {
+            m_knownEndpoints.insert(frontEndpoints.begin(), frontEndpoints.end());
             m_frontEndpoints = std::move(frontEndpoints);
         }
         co_await sleepFor(ResolveInterval);
@@ -166,15 +194,44 @@
         co_await sleepFor(Milliseconds(static_cast<std::int64_t>(gap(m_random) * MillisPerSecond)));
         Program program;
         program.id = nextId("program");
-        const bool isLooping = randomFraction() < LoopingProgramShare;
-        program.turns = isLooping ? LoopingProgramTurns : 1 + static_cast<int>(m_random() % 7);
-        program.budget = MaxTokensPerTurn * (isLooping ? 3 : 2 + program.turns);
-        program.storesTurns = randomFraction() < StoredTurnShare;
+        planTurns(program);
         joinOrganisation(program);
         asio::co_spawn(m_context, runProgram(program), asio::detached);
     }
 }
 
+void Callers::planTurns(Program &program)
+{
+    program.usesMostOfBudget = randomFraction() < FullUseShare;
+    if (program.usesMostOfBudget) {
+        program.turns = MinFullUseTurns + static_cast<int>(m_random() % FullUseTurnRange);
+        program.budget =
+            static_cast<std::int64_t>(FullUseBudget * MaxTokensPerTurn * program.turns);
+        program.storesTurns = true;
+        return;
+    }
+    const bool isLooping = randomFraction() < LoopingProgramShare;
+    program.turns = isLooping ? LoopingProgramTurns : 1 + static_cast<int>(m_random() % 7);
+    program.budget = MaxTokensPerTurn * (isLooping ? 3 : 2 + program.turns);
+    program.storesTurns = randomFraction() < StoredTurnShare;
+}
+
+void Callers::continueConversations()
+{
+    std::size_t continued = 0;
+    for (const auto &[program, conversation] : m_conversations) {
+        const bool isOld = m_clock.now() >= conversation.answeredAt + RecoveryBound
+            && m_clock.now() < conversation.answeredAt + TurnKeepTime / 2;
+        if (isOld && continued < MaxContinued) {
+            continued += 1;
+            asio::co_spawn(m_context,
+                           runConversation(conversation.program, conversation.session,
+                                           conversation.latestTurn, 1),
+                           [](const std::exception_ptr &, bool) {});
+        }
+    }
+}
+
 asio::awaitable<void> Callers::sendCrashingRequests()
 {
     std::uniform_int_distribution<std::int64_t> pause(MinCrashingPause.count(),
@@ -314,12 +371,18 @@
         attempt.input = std::string(200 + m_random() % 6'000, static_cast<char>('a' + turn % 26));
         attempt.key = program.key;
         const std::vector<HttpField> fields = turnFields(session, attempt);
-        previous = co_await callWithRetries(attempt, targetOf(attempt.kind), fields);
+        const std::string target = slowOrNot(targetOf(attempt.kind), randomFraction());
+        previous = co_await callWithRetries(attempt, target, fields);
         if (previous.empty()) {
             co_return false;
         }
         if (program.storesTurns) {
             m_latestTurns[program.organisation] = previous;
+            m_conversations[program.id] = {program, session, previous, m_clock.now()};
+        }
+        if (program.usesMostOfBudget) {
+            co_await sleepFor(
+                std::chrono::duration_cast<Duration>(randomFraction() * MaxFullUsePause));
         }
         if (randomFraction() < ToolShare) {
             Attempt tool;
@@ -328,7 +391,8 @@
             tool.input = "tool input";
             tool.key = program.key;
             const std::vector<HttpField> toolFields{{"Session-Id", session}};
-            co_await callWithRetries(tool, targetOf(tool.kind), toolFields);
+            const std::string toolTarget = slowOrNot(targetOf(tool.kind), randomFraction());
+            co_await callWithRetries(tool, toolTarget, toolFields);
         }
         if (randomFraction() < SubAgentShare) {
             asio::co_spawn(m_context, runConversation(program, nextId("session"), previous, 2),
@@ -341,16 +405,17 @@
 asio::awaitable<std::string> Callers::callWithRetries(Attempt attempt, std::string target,
                                                       std::vector<HttpField> fields)
 {
-    for (int attemptCount = 0; attemptCount < MaxAttempts; ++attemptCount) {
+    const int maxAttempts = attempt.previousTurn.empty() ? MaxAttempts : MaxTurnAttempts;
+    for (int attemptCount = 0; attemptCount < maxAttempts; ++attemptCount) {
         if (m_frontEndpoints.empty()) {
             co_await sleepFor(ResolveInterval);
             continue;
         }
-        const Endpoint frontEndpoint = m_frontEndpoints[m_random() % m_frontEndpoints.size()];
+        const Route route = chooseRoute();
         const std::string id = nextId("call");
-        m_checker.recordSent(id, attempt, frontEndpoint);
-        const AttemptResult attemptResult =
-            co_await callOnce(frontEndpoint, id, attempt, target, fields);
+        m_checker.recordSent(id, attempt, route.front);
+        const AttemptResult attemptResult = co_await callOnce(route, id, attempt, target, fields);
+        attempt.firstTry = attempt.firstTry.empty() ? id : attempt.firstTry;
         const std::optional<ReceivedStream> received = m_checker.recordResult(id, attemptResult);
         if (attemptResult.status == StatusOk && attemptResult.complete) {
             co_return id;
@@ -373,7 +438,24 @@
     co_return "";
 }
 
-asio::awaitable<AttemptResult> Callers::callOnce(Endpoint frontEndpoint, std::string id,
+Callers::Route Callers::chooseRoute()
+{
+    if (randomFraction() < OpenConnectionShare) {
+        const std::optional<Endpoint> open = m_connections.anyIdle(m_random);
+        if (open.has_value()) {
+            return {*open, true};
+        }
+    }
+    Route route{m_frontEndpoints[m_random() % m_frontEndpoints.size()],
+                randomFraction() < KeptShare};
+    if (randomFraction() < KnownAddressShare && !m_knownEndpoints.empty()) {
+        const std::size_t known = m_random() % m_knownEndpoints.size();
+        route.front = *std::next(m_knownEndpoints.begin(), static_cast<long>(known));
+    }
+    return route;
+}
+
+asio::awaitable<AttemptResult> Callers::callOnce(Route route, std::string id,
                                                  const Attempt &attempt, std::string target,
                                                  std::vector<HttpField> fields)
 {
@@ -396,40 +478,47 @@
     const bool disconnects = randomFraction() < DisconnectShare;
     const bool breaksOff =
         attempt.kind == CallKind::ResumableStream && randomFraction() < BreakOffShare;
+    Milliseconds retryAfter{0};
     HttpResponseSink sink;
     sink.onHeader = [&](const HttpResponse &header) -> asio::awaitable<bool> {
         attemptResult.status = header.status;
         attemptResult.hasSeal = !header.headerValue("Replica-Seal").empty();
         if (!header.headerValue("Server-Leaving").empty()) {
             m_checker.recordLeavingAnswer(
-                frontEndpoint, ReplicaAnswers::replicaOf(header.headerValue("Replica-Seal")));
+                route.front, ReplicaAnswers::replicaOf(header.headerValue("Replica-Seal")));
         }
         if (!header.headerValue("Server-Limit").empty()) {
             m_checker.recordLimitedAnswer(
-                frontEndpoint, ReplicaAnswers::replicaOf(header.headerValue("Replica-Seal")));
+                route.front, ReplicaAnswers::replicaOf(header.headerValue("Replica-Seal")));
         }
+        retryAfter = retryAfterOf(header);
         co_return !disconnects;
     };
     sink.onData = [&](const std::string &data) -> asio::awaitable<bool> {
         attemptResult.body += data;
         co_return !breaksOff;
     };
-    const HttpResult result = co_await httpStream(frontEndpoint, request, StreamIdleTimeout, sink);
-    attemptResult.complete = result.complete;
+    const ConnectionFacts connection = co_await m_connections.call(
+        route.front, request, StreamIdleTimeout, sink, route.keepsConnection);
+    m_checker.recordConnection(id, connection);
+    attemptResult.complete = connection.end == CallEnd::Answered;
+    if (connection.end == CallEnd::NotConnected) {
+        m_knownEndpoints.erase(route.front);
+    }
     if (isRefusal(attemptResult.status)) {
-        co_await sleepFor(std::min(retryAfterOf(result.response), CallDeadline / 3));
+        co_await sleepFor(std::min(retryAfter, CallDeadline / 3));
     }
     co_return attemptResult;
 }
 
 asio::awaitable<bool> Callers::probe(Endpoint frontEndpoint)
 {
+    const Route route{frontEndpoint, false};
     const Attempt tool{CallKind::AtMostOnce, nextId("probe"), "tool input", "", 0, 0, {}, keyOf(0)};
     const std::string toolId = nextId("call");
     m_checker.recordSent(toolId, tool, frontEndpoint);
     const std::vector<HttpField> noFields;
-    const AttemptResult toolResult =
-        co_await callOnce(frontEndpoint, toolId, tool, "/tool/x", noFields);
+    const AttemptResult toolResult = co_await callOnce(route, toolId, tool, "/tool/x", noFields);
     m_checker.recordResult(toolId, toolResult);
     const Attempt turn{CallKind::StoredTurn,
                        nextId("probe"),
@@ -442,8 +531,7 @@
     const std::string turnId = nextId("call");
     m_checker.recordSent(turnId, turn, frontEndpoint);
     const std::vector<HttpField> fields = turnFields("probe", turn);
-    const AttemptResult turnResult =
-        co_await callOnce(frontEndpoint, turnId, turn, "/turn/x", fields);
+    const AttemptResult turnResult = co_await callOnce(route, turnId, turn, "/turn/x", fields);
     m_checker.recordResult(turnId, turnResult);
     co_return toolResult.complete &&toolResult.status
         == StatusOk &&turnResult.complete &&turnResult.status == StatusOk;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "soak/invariant_checker.h"
+#include "soak/kept_connections.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,13 +29,19 @@
      * @param directoryEndpoints where the VMs answer address lookups.
      * @param organisations to which the callers belong, with their current loads; may be empty.
      */
-    Callers(boost::asio::io_context &context, InvariantChecker &checker,
+    Callers(boost::asio::io_context &context, const Clock &clock, InvariantChecker &checker,
             std::vector<Endpoint> directoryEndpoints,
             const std::vector<SoakOrganisation> &organisations, std::uint64_t seed);
 
-    /** Starts programs at an average rate of @p perSecond until stop() is called. */
-    void start(double perSecond);
+    /**
+     * Starts programs at an average rate of @p perSecond until stop() is called.
+     *
+     * @param crashes also sends requests that crash the replicas that run them.
+     */
+    void start(double perSecond, bool crashes);
     void stop() { m_stopped = true; }
+    /** Goes on with conversations whose latest turn was answered long ago. */
+    void continueConversations();
     int activePrograms() const { return m_activePrograms; }
     int finishedPrograms() const { return m_finishedPrograms; }
     /** Sends one tool call and one turn to a VM; true if both are fully answered. */
@@ -49,6 +57,25 @@
         std::int64_t budget = 0;
         int turns = 0;
         bool storesTurns = false;
+        /** Its budget is as large as its turns, and it pauses between them. */
+        bool usesMostOfBudget = false;
+    };
+
+    /** A program and the latest turn of one of its conversations. */
+    struct Conversation
+    {
+        Program program;
+        std::string session;
+        std::string latestTurn;
+        SteadyTime answeredAt;
+    };
+
+    /** Where a call is sent. */
+    struct Route
+    {
+        Endpoint front;
+        /** Uses an open connection if there is one, and keeps it open. */
+        bool keepsConnection = false;
     };
 
     boost::asio::awaitable<void> startPrograms(double perSecond);
@@ -74,7 +101,11 @@
      */
     boost::asio::awaitable<std::string> callWithRetries(Attempt attempt, std::string target,
                                                         std::vector<HttpField> fields);
-    boost::asio::awaitable<AttemptResult> callOnce(Endpoint frontEndpoint, std::string id,
+    /** An open connection, an address in use, or one of which the directory once told. */
+    Route chooseRoute();
+    /** Assigns turns and a budget to a new program. */
+    void planTurns(Program &program);
+    boost::asio::awaitable<AttemptResult> callOnce(Route route, std::string id,
                                                    const Attempt &attempt, std::string target,
                                                    std::vector<HttpField> fields);
     boost::asio::awaitable<std::vector<Endpoint>> resolve();
@@ -86,6 +117,11 @@
     InvariantChecker &m_checker;
     std::vector<Endpoint> m_directoryEndpoints;
     std::vector<Endpoint> m_frontEndpoints;
+    /** Addresses of which the directory told, until they refuse connections. */
+    std::set<Endpoint> m_knownEndpoints;
+    KeptConnections m_connections;
+    std::map<std::string, Conversation> m_conversations;
+    const Clock &m_clock;
     std::mt19937_64 m_random;
     /** Draws for crashing requests alone, so that the programs of a seed stay the same. */
     std::mt19937_64 m_crashRandom;
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -111,8 +111,9 @@
     return absl::StrCat("i-", deployment.nextReplica++);
 }
 
-void startReplica(Deployment &deployment, ReplicaSite &site, const ReplicaIdentity &identity)
+void startReplica(Deployment &deployment, std::size_t index, const ReplicaIdentity &identity)
 {
+    ReplicaSite &site = deployment.replicas[index];
     site.leaving = false;
     site.draining = false;
     site.unregistered = false;
@@ -121,9 +122,13 @@
         std::make_unique<PlatformReplica>(deployment.context, site.realEndpoint, identity,
                                           deployment.onRequestRun, deployment.seed++);
     site.replica->onReceive(deployment.onReceive);
+    site.replica->onRunEnd(
+        [&deployment, id = identity.id](const HttpRequest &request, bool brokeOff) {
+            deployment.onRunEnd(request, id, brokeOff);
+        });
     site.replica->onCrash([&deployment, id = identity.id] { deployment.onReplicaCrash(id); });
     site.link->setListening(true);
-    deployment.onReplicaStart(identity.id);
+    deployment.onReplicaStart(identity.id, index);
     writeRegistration(deployment, site);
 }
 
@@ -186,6 +191,11 @@
             asio::co_spawn(m_deployment.context, injectRandomFault(), asio::detached);
         }
     }
+    co_await waitForFaultsToEnd();
+}
+
+asio::awaitable<void> FaultInjector::waitForFaultsToEnd()
+{
     logEvent("no further faults");
     while (m_activeFaults > 0) {
         co_await sleepFor(PollInterval);
@@ -228,11 +238,11 @@
             co_return;
         },
         [this]() -> asio::awaitable<void> {
-            const std::size_t vm = randomIndex(m_deployment.fleet.size());
-            logEvent(absl::StrCat("SIGHUP to VM ", vm));
-            m_deployment.fleet.signal(vm, SIGHUP);
+            reloadAnyVm();
             co_return;
         },
+        [this] { return replaceSomeVms(); },
+        [this] { return changeInSeries(); },
     };
 }
 
@@ -380,7 +390,9 @@
     *probabilities[randomIndex(5)] = 0.4;
     faults.delay = Milliseconds(randomIndex(100));
     m_deployment.replicas[index].replica->faults() = faults;
+    m_deployment.onSiteDisruption(index, true);
     co_await sleepRandomly(Milliseconds(500), Milliseconds(4'000));
+    m_deployment.onSiteDisruption(index, false);
     if (m_deployment.replicas[index].replica != nullptr) {
         m_deployment.replicas[index].replica->faults() = {};
     }
@@ -429,8 +441,11 @@
                           DepartureNames[static_cast<int>(replacement.departure)], ", then ",
                           replacement.version, replacement.keepsId ? " under its id" : ""));
     site.leaving = true;
-    if (replacement.departure != Departure::Crash) {
+    const bool isPlanned = replacement.departure != Departure::Crash;
+    if (isPlanned) {
         co_await announceDeparture(site, replacement.departure);
+    } else {
+        m_deployment.onSiteDisruption(index, true);
     }
     site.link->setListening(false);
     site.replica->stop();
@@ -444,7 +459,10 @@
     if (!replacement.keepsId) {
         removeRegistration(m_deployment, id);
     }
-    startReplica(m_deployment, site, identity);
+    startReplica(m_deployment, index, identity);
+    if (!isPlanned) {
+        m_deployment.onSiteDisruption(index, false);
+    }
     // Requests that were still running on the stopped replica may access it until they time out, so
     // it is destroyed only after that.
     co_await sleepFor(DrainTime);
@@ -578,6 +596,7 @@
     const std::size_t index = randomIndex(m_deployment.replicas.size());
     LinkProxy &link = *m_deployment.replicas[index].link;
     logEvent(absl::StrCat("link to replica site ", index, ": fault"));
+    m_deployment.onSiteDisruption(index, true);
     switch (randomIndex(3)) {
     case 0:
         link.faults().delay = Milliseconds(20 + randomIndex(200));
@@ -591,6 +610,7 @@
     }
     co_await sleepRandomly(Milliseconds(300), Milliseconds(3'000));
     link.faults() = {};
+    m_deployment.onSiteDisruption(index, false);
 }
 
 } // namespace boragepath::soak
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "soak/fleet.h"
 #include "soak/organisations.h"
 #include "standin/link_proxy.h"
@@ -67,7 +68,16 @@
     std::vector<std::unique_ptr<LinkProxy>> storeLinks;
     std::vector<ReplicaSite> replicas;
     PlatformReplica::OnRequestRun onRequestRun;
-    std::function<void(const std::string &replica)> onReplicaStart;
+    std::function<void(const std::string &replica, std::size_t site)> onReplicaStart;
+    /** A run at a replica ended; @p brokeOff if the replica was stopped before. */
+    std::function<void(const HttpRequest &request, const std::string &replica, bool brokeOff)>
+        onRunEnd;
+    /** The replica of a site, or the link to it, begins or ceases to be disrupted. */
+    std::function<void(std::size_t site, bool begins)> onSiteDisruption;
+    /** All VMs were killed at the same moment. */
+    std::function<void()> onPowerLoss;
+    /** Long after a loss of power; callers go on with what they left then. */
+    std::function<void()> onRecovered;
     std::function<void(const std::string &replica, std::optional<double> limit)> onLimit;
     /** Ends the process of a replica that runs a request which crashes it. */
     std::function<void(const std::string &replica)> onReplicaCrash;
@@ -88,8 +98,8 @@
 void writeConfiguration(Deployment &deployment);
 /** Returns an id that no replica had before. */
 std::string newReplicaId(Deployment &deployment);
-/** Starts a replica at the endpoint of @p site, and registers it. */
-void startReplica(Deployment &deployment, ReplicaSite &site, const ReplicaIdentity &identity);
+/** Starts a replica at the endpoint of a site, and registers it. */
+void startReplica(Deployment &deployment, std::size_t site, const ReplicaIdentity &identity);
 /** Renews the registrations of all running replicas periodically until @p stopped is set. */
 boost::asio::awaitable<void> renewRegistrations(Deployment &deployment, const bool &stopped);
 
@@ -101,6 +111,13 @@
 
     /** Injects faults for @p duration; returns when all of them have been undone. */
     boost::asio::awaitable<void> run(Duration duration);
+    /**
+     * Does nothing but planned work for @p duration: VMs are stopped one after the other, while
+     * settings and configurations change in series and replicas are replaced.
+     */
+    boost::asio::awaitable<void> runPlannedWork(Duration duration);
+    /** All VMs, or several, are killed at the same moment; nothing else happens around it. */
+    boost::asio::awaitable<void> runPowerLosses(Duration duration);
     const std::vector<std::string> &history() const { return m_history; }
 
 private:
@@ -122,6 +139,17 @@
     boost::asio::awaitable<void> killVms(std::size_t count);
     boost::asio::awaitable<void> pauseVm();
     boost::asio::awaitable<void> terminateVm();
+    /** Stops a VM as planned, and starts it again as soon as its process is gone. */
+    boost::asio::awaitable<void> replaceVm(std::size_t vm);
+    boost::asio::awaitable<void> replaceVmsUntil(SteadyTime end);
+    /** Several VMs are stopped one after the other. */
+    boost::asio::awaitable<void> replaceSomeVms();
+    boost::asio::awaitable<void> changeInSeriesUntil(SteadyTime end);
+    /** Some settings are read again and some configurations written, with short pauses. */
+    boost::asio::awaitable<void> changeInSeries();
+    boost::asio::awaitable<void> replaceReplicasUntil(SteadyTime end);
+    boost::asio::awaitable<void> losePower();
+    void reloadAnyVm();
     boost::asio::awaitable<void> injectStoreOutage();
     boost::asio::awaitable<void> slowDownStore();
     boost::asio::awaitable<void> loseStoreAnswers();
@@ -142,6 +170,9 @@
     boost::asio::awaitable<void> sleepRandomly(Milliseconds shortest, Milliseconds longest);
     std::size_t randomIndex(std::size_t count) { return m_random() % count; }
     void logEvent(const std::string &event);
+    /** Runs a task beside others; waitForFaultsToEnd() waits for its end. */
+    void spawn(boost::asio::awaitable<void> task);
+    boost::asio::awaitable<void> waitForFaultsToEnd();
 
     Deployment &m_deployment;
     std::mt19937_64 m_random;
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -22,6 +22,22 @@
 constexpr std::uint16_t DirectoryPort = 8'143;
 constexpr mode_t LogMode = 0644;
 
+VmEvent eventOf(int signalNumber)
+{
+    switch (signalNumber) {
+    case SIGTERM:
+        return VmEvent::ToldToStop;
+    case SIGHUP:
+        return VmEvent::ToldToReload;
+    case SIGSTOP:
+        return VmEvent::Paused;
+    case SIGCONT:
+        return VmEvent::Continued;
+    default:
+        return VmEvent::Killed;
+    }
+}
+
 } // namespace
 
 Fleet::Fleet(std::string executable, std::string folder, std::vector<VmConfig> configs)
@@ -84,7 +100,7 @@
     if (isRunning(index)) {
         return;
     }
-    m_onDisruption(index, false);
+    m_onEvent(index, VmEvent::Started);
     Vm &vm = m_vms[index];
     writeSettings(vm);
     const std::string log = absl::StrCat(m_folder, "/", vm.config.name, ".log");
@@ -119,9 +135,7 @@
     }
     vm.terminationRequested =
         vm.terminationRequested || signalNumber == SIGKILL || signalNumber == SIGTERM;
-    if (signalNumber != SIGHUP) {
-        m_onDisruption(index, signalNumber == SIGSTOP);
-    }
+    m_onEvent(index, eventOf(signalNumber));
     kill(vm.process, signalNumber);
 }
 
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -25,6 +25,16 @@
     std::string settings;
 };
 
+/** What the soak does to the process of a VM. */
+enum class VmEvent {
+    Started,
+    ToldToStop, ///< SIGTERM
+    ToldToReload, ///< SIGHUP
+    Killed,
+    Paused,
+    Continued,
+};
+
 /** The daemon processes of the soak. Signals only processes that it started, by process id. */
 class Fleet
 {
@@ -38,13 +48,10 @@
     std::size_t size() const { return m_vms.size(); }
     /** Starts the process of a VM unless it runs; throws std::runtime_error if it cannot. */
     void start(std::size_t vm);
-    /**
-     * Sets a task to run when a VM is started or gets a signal that ends, pauses or continues it;
-     * it does not run afterwards if @p paused.
-     */
-    void onDisruption(std::function<void(std::size_t vm, bool paused)> task)
+    /** Sets a task to run right before a VM is started or gets a signal. */
+    void onEvent(std::function<void(std::size_t vm, VmEvent event)> task)
     {
-        m_onDisruption = std::move(task);
+        m_onEvent = std::move(task);
     }
     /** Sends a signal to the process of a VM, if it runs. */
     void signal(std::size_t vm, int signalNumber);
@@ -72,7 +79,7 @@
     std::string m_executable;
     std::string m_folder;
     std::vector<Vm> m_vms;
-    std::function<void(std::size_t vm, bool paused)> m_onDisruption = [](std::size_t, bool) {};
+    std::function<void(std::size_t vm, VmEvent event)> m_onEvent = [](std::size_t, VmEvent) {};
     int m_unexpectedExits = 0;
 };
 
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -1,5 +1,6 @@
 #include "soak/invariant_checker.h"
 
+#include "soak/lost_checks.h"
 #include "standin/platform_replica.h"
 
 #include <absl/strings/match.h>
@@ -19,11 +20,7 @@
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusBudgetExhausted = 402;
 constexpr unsigned StatusNotFound = 404;
-/**
- * Turns that ended at least this long ago are settled. Until then, they may count against the
- * budget with their upper bound.
- */
-constexpr Milliseconds SettlementTime{1'000};
+constexpr unsigned StatusGone = 410;
 
 /** A VM may send requests to a leaving replica for this long after it has passed on the news. */
 constexpr Milliseconds DrainBound{2'000};
@@ -103,6 +100,7 @@
     }
     Record &record = found->second;
     record.runs += 1;
+    record.runFacts.push_back({replica, std::nullopt, false});
     m_counts["run by replicas"] += 1;
     if (record.runs > 1 && !mayRunMoreThanOnce(record.attempt.kind)) {
         addViolation("TWICE", id, absl::StrCat("ran again on replica ", replica));
@@ -269,10 +267,11 @@
         recordBudgetRefusal(id, record);
     }
     checkOrganisationOfResult(id, record);
-    if (result.status == StatusNotFound && !continuesForeignTurn(record.attempt)) {
+    const bool isUnknown = result.status == StatusNotFound || result.status == StatusGone;
+    if (isUnknown && !continuesForeignTurn(record.attempt)) {
         addViolation("LOST", id,
-                     absl::StrCat("was answered with status 404; it continues from turn ",
-                                  record.attempt.previousTurn));
+                     absl::StrCat("was answered with status ", result.status,
+                                  "; it continues from turn ", record.attempt.previousTurn));
     }
     countTakenUp(record, result);
     if (result.status != StatusOk) {
@@ -333,6 +332,7 @@
     }
     record.tokens = (received.events - eventsBefore(record.attempt)) * TokensPerEvent;
     if (result.complete) {
+        record.isWhole = true;
         checkStreamEnd(id, result, received);
         if (record.attempt.kind == CallKind::StoredTurn) {
             m_conversations[id] =
@@ -392,7 +392,57 @@
     m_budgetRefusals.push_back(std::move(refusal));
 }
 
+void InvariantChecker::recordConnection(const std::string &id, const ConnectionFacts &connection)
+{
+    m_records[id].connection = connection;
+    m_counts["calls on kept connections"] += connection.callsBefore > 0 ? 1 : 0;
+}
+
+void InvariantChecker::recordRunEnd(const HttpRequest &request, const std::string &replica,
+                                    bool brokeOff)
+{
+    const auto record = m_records.find(request.headerValue("Attempt-Id"));
+    if (record == m_records.end()) {
+        return;
+    }
+    std::vector<RunFacts> &runs = record->second.runFacts;
+    const auto run = std::find_if(runs.begin(), runs.end(), [&](const RunFacts &item) {
+        return item.replica == replica && !item.endedAt.has_value();
+    });
+    if (run != runs.end()) {
+        run->endedAt = m_clock.now();
+        run->brokeOff = brokeOff;
+    }
+}
+
+std::vector<CallFacts> InvariantChecker::callFacts() const
+{
+    std::vector<CallFacts> calls;
+    for (const auto &[id, record] : m_records) {
+        const Attempt &attempt = record.attempt;
+        if (record.ended) {
+            calls.push_back({id, attempt.firstTry.empty() ? id : attempt.firstTry, record.front,
+                             record.sentAt, record.status, record.connection, record.runFacts,
+                             attempt.kind == CallKind::StoredTurn, attempt.previousTurn,
+                             attempt.program, attempt.budget, attempt.maxTokens, record.tokens,
+                             record.isWhole});
+        }
+    }
+    std::sort(calls.begin(), calls.end(), [](const CallFacts &first, const CallFacts &second) {
+        return first.sentAt < second.sentAt;
+    });
+    return calls;
+}
+
 void InvariantChecker::finish()
+{
+    checkBudgetRefusals();
+    for (const LostCall &call : lostCalls(callFacts(), m_faults)) {
+        addViolation(call.kind, call.id, call.detail);
+    }
+}
+
+void InvariantChecker::checkBudgetRefusals()
 {
     for (const BudgetRefusal &refusal : m_budgetRefusals) {
         const Attempt &attempt = m_records[refusal.id].attempt;
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -3,6 +3,8 @@
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "net/http_types.h"
+#include "soak/call_facts.h"
+#include "soak/fault_history.h"
 #include "soak/organisations.h"
 
 #include <cstdint>
@@ -55,6 +57,8 @@
     std::optional<ReceivedStream> received;
     /** API key of the caller's organisation; empty if it sends none. */
     std::string key{};
+    /** The first try of the same call; empty if it is the first. */
+    std::string firstTry{};
 };
 
 /** Result of an attempt as its caller saw it. */
@@ -90,6 +94,12 @@
      * @return the events of the stream that the caller has now, if it is one.
      */
     std::optional<ReceivedStream> recordResult(const std::string &id, const AttemptResult &result);
+    /** Records how the connection of a request ended, before its result is recorded. */
+    void recordConnection(const std::string &id, const ConnectionFacts &connection);
+    /** A run at a replica ended; @p brokeOff if the replica was stopped before. */
+    void recordRunEnd(const HttpRequest &request, const std::string &replica, bool brokeOff);
+    /** The injected faults, which are recorded here as they begin and end. */
+    FaultHistory &faults() { return m_faults; }
     /** A VM passed on an answer in which a replica says that it leaves. */
     void recordLeavingAnswer(const Endpoint &front, const std::string &replica);
     /** A replica names a limit in its answers from now on, or none any more. */
@@ -131,6 +141,10 @@
         SteadyTime endedAt;
         Endpoint front;
         SteadyTime sentAt;
+        ConnectionFacts connection;
+        std::vector<RunFacts> runFacts;
+        /** A stream that was answered to its end. */
+        bool isWhole = false;
     };
 
     /** An answer of a replica that leaves, which a VM passed on. */
@@ -192,8 +206,13 @@
     void checkTenant(const std::string &id, const Record &record, const HttpRequest &request);
     void checkQuota(const std::string &id, const Record &record);
 
+    /** What is known of all requests that have ended, in the order in which they were sent. */
+    std::vector<CallFacts> callFacts() const;
+    void checkBudgetRefusals();
+
     const Clock &m_clock;
     std::map<std::string, Record> m_records;
+    FaultHistory m_faults;
     std::map<std::string, std::vector<std::string>> m_programs;
     std::map<std::string, std::string> m_conversations;
     std::vector<BudgetRefusal> m_budgetRefusals;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -41,6 +41,8 @@
   --replicas N       Number of model replicas; half as many run a plain service [default: 6].
   --programs N       Programs started per second [default: 8].
   --network N        Second octet of the loopback addresses, 1 to 250 [default: 77].
+  --planned          Does planned work alone, in series: stops, reloads, configurations, replicas.
+  --power-loss       Kills all VMs, or several, at the same moment with calm around it.
   --organisations    Callers belong to organisations with API keys and quotas, which change.
   -h --help          Show this text.
 
@@ -61,6 +63,8 @@
  * again, and for callers to refresh cached addresses.
  */
 constexpr Milliseconds RecoveryTime{12'000};
+/** The same after planned work or a loss of power, which end with all VMs in service. */
+constexpr Milliseconds CalmRecoveryTime{1'000};
 constexpr int MaxProbeAttempts = 40;
 constexpr Milliseconds ProbeInterval{500};
 constexpr Milliseconds LateRunWindow{4'000};
@@ -76,6 +80,8 @@
     double programsPerSecond = 8;
     int network = 77;
     bool organisations = false;
+    bool planned = false;
+    bool powerLoss = false;
 };
 
 std::string loopbackAddress(const Options &options, std::size_t host)
@@ -141,6 +147,17 @@
     bool interrupted = false;
 };
 
+asio::awaitable<void> injectFaults(const Options &options, FaultInjector &faultInjector)
+{
+    if (options.planned) {
+        co_await faultInjector.runPlannedWork(options.duration);
+    } else if (options.powerLoss) {
+        co_await faultInjector.runPowerLosses(options.duration);
+    } else {
+        co_await faultInjector.run(options.duration);
+    }
+}
+
 asio::awaitable<void> runScenario(const Options &options, Deployment &deployment, Callers &callers,
                                   FaultInjector &faultInjector, Outcome &outcome)
 {
@@ -148,13 +165,14 @@
         deployment.fleet.start(vm);
     }
     co_await sleepFor(StartupTime);
-    callers.start(options.programsPerSecond);
-    co_await faultInjector.run(options.duration);
+    const bool crashes = !options.planned && !options.powerLoss;
+    callers.start(options.programsPerSecond, crashes);
+    co_await injectFaults(options, faultInjector);
     for (std::size_t vm = 0; vm < deployment.fleet.size(); ++vm) {
         deployment.fleet.signal(vm, SIGCONT);
         deployment.fleet.start(vm);
     }
-    co_await sleepFor(RecoveryTime);
+    co_await sleepFor(crashes ? RecoveryTime : CalmRecoveryTime);
     callers.stop();
     outcome.recovered = co_await waitForRecovery(deployment, callers);
     // Refused requests must not run later either; wait to detect those that do.
@@ -220,27 +238,44 @@
         [&](const HttpRequest &request, const std::string &replica) {
             checker.recordRun(request, replica);
         },
-        [&](const std::string &replica) { checker.recordReplicaStart(replica); },
+        [&](const std::string &replica, std::size_t site) {
+            checker.recordReplicaStart(replica);
+            checker.faults().recordReplicaStart(replica, site);
+        },
+        [&](const HttpRequest &request, const std::string &replica, bool brokeOff) {
+            checker.recordRunEnd(request, replica, brokeOff);
+        },
+        [&](std::size_t site, bool begins) {
+            checker.faults().recordSite(site, begins, clock.now());
+        },
+        [&] { checker.faults().recordPowerLoss(clock.now()); },
+        [] {},
         [&](const std::string &replica, std::optional<double> limit) {
             checker.recordLimit(replica, limit);
         },
         [](const std::string &) {},
         [&](std::optional<std::size_t> vm, bool begins) {
-            checker.recordStoreDisruption(
-                vm.has_value() ? std::optional(fleet.frontEndpoint(*vm)) : std::nullopt, begins);
+            const std::optional<Endpoint> front =
+                vm.has_value() ? std::optional(fleet.frontEndpoint(*vm)) : std::nullopt;
+            checker.recordStoreDisruption(front, begins);
+            checker.faults().recordStore(front, begins, clock.now());
         },
         [&](const HttpRequest &request, const std::string &replica) {
             checker.recordReceived(request, replica);
         },
         [&](const std::vector<OrganisationEntry> &entries) {
             checker.recordConfiguration(entries);
+            checker.faults().recordConfiguration(clock.now());
         },
         options.organisations ? makeOrganisations(options.seed) : std::vector<SoakOrganisation>(),
         0,
         1,
         options.seed};
-    fleet.onDisruption([&](std::size_t vm, bool paused) {
-        checker.recordVmDisruption(fleet.frontEndpoint(vm), paused);
+    fleet.onEvent([&](std::size_t vm, VmEvent event) {
+        checker.faults().recordVm(fleet.frontEndpoint(vm), event, clock.now());
+        if (event != VmEvent::ToldToReload) {
+            checker.recordVmDisruption(fleet.frontEndpoint(vm), event == VmEvent::Paused);
+        }
     });
     std::vector<Endpoint> directoryEndpoints;
     for (std::size_t vm = 0; vm < options.vms; ++vm) {
@@ -256,12 +291,13 @@
     for (std::size_t index = 0; index < options.replicas + services; ++index) {
         const char *service = index < options.replicas ? "engine" : "app";
         deployment.replicas.push_back(makeReplicaSite(deployment, options, index, service));
-        startReplica(deployment, deployment.replicas.back(), {newReplicaId(deployment), "v1"});
+        startReplica(deployment, index, {newReplicaId(deployment), "v1"});
     }
     writeConfiguration(deployment);
     Outcome outcome;
-    Callers callers(context, checker, directoryEndpoints, deployment.organisations,
+    Callers callers(context, clock, checker, directoryEndpoints, deployment.organisations,
                     options.seed + 1);
+    deployment.onRecovered = [&] { callers.continueConversations(); };
     FaultInjector faultInjector(deployment, options.seed);
     asio::co_spawn(context, renewRegistrations(deployment, outcome.done), asio::detached);
     asio::co_spawn(context, runScenario(options, deployment, callers, faultInjector, outcome),
@@ -299,6 +335,8 @@
     options.replicas = static_cast<std::size_t>(integerOption("--replicas"));
     options.programsPerSecond = static_cast<double>(integerOption("--programs"));
     options.organisations = arguments.at("--organisations").asBool();
+    options.planned = arguments.at("--planned").asBool();
+    options.powerLoss = arguments.at("--power-loss").asBool();
     options.network = static_cast<int>(integerOption("--network"));
     return runSoak(options);
 }
--- a/standin/platform_replica.cpp
+++ b/standin/platform_replica.cpp
@@ -29,6 +29,9 @@
 constexpr int Slots = 8;
 constexpr std::size_t MaxRunsKept = 10'000;
 constexpr Milliseconds ProcessingTime{15};
+/** Of a slow request, before each event of a stream or before its only answer. */
+constexpr Milliseconds SlowEventTime{200};
+constexpr Milliseconds SlowAnswerTime{1'000};
 
 asio::awaitable<bool> write(const std::shared_ptr<tcp::socket> &socket, std::string bytes)
 {
@@ -63,6 +66,15 @@
     return request.target.starts_with("/turn/") || request.target.starts_with("/read/");
 }
 
+/** Time before each event of a stream, or before its only answer. */
+Milliseconds processingTimeOf(const HttpRequest &request)
+{
+    if (request.target.find(PlatformReplica::SlowMark) == std::string::npos) {
+        return ProcessingTime;
+    }
+    return isStream(request) ? SlowEventTime : SlowAnswerTime;
+}
+
 } // namespace
 
 CallerIdentity callerIdentityOf(const HttpRequest &request)
@@ -152,6 +164,7 @@
 void PlatformReplica::stop()
 {
     boost::system::error_code ignored;
+    m_stopped = true;
     m_acceptor.close(ignored);
     for (const auto &open : m_sockets) {
         if (const Socket socket = open.lock()) {
@@ -223,7 +236,14 @@
         m_runs.pop_front();
     }
     m_onRequestRun(request, id());
-    co_await sleepFor(ProcessingTime + m_faults.delay);
+    const bool keepsOpen = co_await run(socket, request);
+    m_onRunEnd(request, m_stopped);
+    co_return keepsOpen;
+}
+
+asio::awaitable<bool> PlatformReplica::run(Socket socket, const HttpRequest &request)
+{
+    co_await sleepFor(processingTimeOf(request) + m_faults.delay);
     if (crashesReplicas(request.target)) {
         if (m_onCrash) {
             m_onCrash();
@@ -235,7 +255,8 @@
     }
     if (withProbability(m_faults.refusesAfterRun)) {
         const std::string unclearRefusal =
-            absl::StrCat(responseHead("503 Busy", attempt, false), "Content-Length: 0\r\n\r\n");
+            absl::StrCat(responseHead("503 Busy", request.headerValue("Attempt-Id"), false),
+                         "Content-Length: 0\r\n\r\n");
         co_return co_await write(socket, unclearRefusal);
     }
     if (isStream(request)) {
@@ -276,7 +297,7 @@
     bool open = co_await write(socket, head);
     const int count = ReplicaAnswers::eventCount(firstAttempt);
     for (int number = lastEventId + 1; open && number <= count; ++number) {
-        co_await sleepFor(ProcessingTime + m_faults.delay);
+        co_await sleepFor(processingTimeOf(request) + m_faults.delay);
         const std::string event =
             chunk(absl::StrCat("id: ", number, "\ndata: ",
                                ReplicaAnswers::eventData(firstAttempt, version(), number), "\n\n"));
--- a/standin/platform_replica.h
+++ b/standin/platform_replica.h
@@ -93,6 +93,9 @@
     using OnRequestRun =
         std::function<void(const HttpRequest &request, const std::string &replica)>;
 
+    /** Called when a run ends; @p brokeOff if the replica was stopped before. */
+    using OnRunEnd = std::function<void(const HttpRequest &request, bool brokeOff)>;
+
     PlatformReplica(boost::asio::io_context &context, const Endpoint &endpoint,
                     ReplicaIdentity identity, OnRequestRun onRequestRun, std::uint64_t seed);
 
@@ -107,8 +110,12 @@
     void onCrash(std::function<void()> task) { m_onCrash = std::move(task); }
     /** Sets a task to run for each request that arrives, also if it is refused. */
     void onReceive(OnRequestRun task) { m_onReceive = std::move(task); }
+    /** Sets a task to run when a run ends. */
+    void onRunEnd(OnRunEnd task) { m_onRunEnd = std::move(task); }
     /** The requests that it ran, in order; the oldest are dropped beyond 10,000. */
     const std::deque<ReplicaRun> &runs() const { return m_runs; }
+    /** Part of the targets of requests that take replicas long. */
+    static constexpr const char *SlowMark = "/slow";
     /** True if replicas crash when they run requests to the target. */
     static bool crashesReplicas(const std::string &target);
     /** Closes all connections and accepts no new ones. */
@@ -120,6 +127,8 @@
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(Socket socket);
     boost::asio::awaitable<bool> handleRequest(Socket socket, const HttpRequest &request);
+    /** Runs a request and answers it; @return false if its connection ends with that. */
+    boost::asio::awaitable<bool> run(Socket socket, const HttpRequest &request);
     boost::asio::awaitable<bool> sendAnswer(Socket socket, const HttpRequest &request);
     boost::asio::awaitable<bool> sendStream(Socket socket, const HttpRequest &request);
     bool withProbability(double probability);
@@ -134,12 +143,14 @@
     ReplicaIdentity m_identity;
     OnRequestRun m_onRequestRun;
     OnRequestRun m_onReceive;
+    OnRunEnd m_onRunEnd = [](const HttpRequest &, bool) {};
     std::function<void()> m_onCrash;
     std::deque<ReplicaRun> m_runs;
     ReplicaFaults m_faults;
     std::mt19937_64 m_random;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> m_sockets;
     int m_running = 0;
+    bool m_stopped = false;
     bool m_leaving = false;
     std::optional<double> m_limit;
 };
