Soak: half of the programs use one VM until its process is gone

Half of the programs now stay at one VM until it refuses connections, and one call in five is slow.

LOST-TURN judges only while the replicas that run turns are under half full.

--- a/soak/call_facts.h
+++ b/soak/call_facts.h
@@ -35,6 +35,7 @@
 struct RunFacts
 {
     std::string replica;
+    SteadyTime startedAt;
     /** Not set while the replica is at work. */
     std::optional<SteadyTime> endedAt;
     /** It ended because the replica broke off. */
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -44,18 +44,19 @@
 constexpr double StoredTurnShare = 0.6;
 constexpr double ToolShare = 0.6;
 constexpr double SubAgentShare = 0.15;
-constexpr double SlowShare = 0.1;
+constexpr double SlowShare = 0.2;
 /** Fraction of programs that use most of their budget, and what they are given of their most. */
 constexpr double FullUseShare = 0.25;
 constexpr double FullUseBudget = 0.7;
 constexpr int MinFullUseTurns = 8;
 constexpr int FullUseTurnRange = 5;
 constexpr Milliseconds MaxFullUsePause{500};
-/** Fractions of calls that go on a kept connection, on one that is open whatever the directory
- * says of its VM, and to any address of which it once told. */
+/** Fractions of calls that go on a kept connection, and on one that is open whatever the directory
+ * says of its VM by now. */
 constexpr double KeptShare = 0.5;
 constexpr double OpenConnectionShare = 0.3;
-constexpr double KnownAddressShare = 0.15;
+/** Fraction of programs that use one VM until its process is gone. */
+constexpr double LoyalShare = 0.5;
 constexpr std::size_t MaxContinued = 60;
 constexpr double DisconnectShare = 0.03;
 /** Fraction of resumable streams that their callers break off after some events. */
@@ -195,6 +196,9 @@
         Program program;
         program.id = nextId("program");
         planTurns(program);
+        if (randomFraction() < LoyalShare && !m_knownEndpoints.empty()) {
+            m_loyalPrograms[program.id] = anyKnownEndpoint();
+        }
         joinOrganisation(program);
         asio::co_spawn(m_context, runProgram(program), asio::detached);
     }
@@ -411,7 +415,7 @@
             co_await sleepFor(ResolveInterval);
             continue;
         }
-        const Route route = chooseRoute();
+        const Route route = chooseRoute(attempt.program);
         const std::string id = nextId("call");
         m_checker.recordSent(id, attempt, route.front);
         const AttemptResult attemptResult = co_await callOnce(route, id, attempt, target, fields);
@@ -438,21 +442,29 @@
     co_return "";
 }
 
-Callers::Route Callers::chooseRoute()
+Endpoint Callers::anyKnownEndpoint()
+{
+    const std::size_t known = m_random() % m_knownEndpoints.size();
+    return *std::next(m_knownEndpoints.begin(), static_cast<long>(known));
+}
+
+Callers::Route Callers::chooseRoute(const std::string &program)
 {
+    const bool keepsConnection = randomFraction() < KeptShare;
+    const auto loyal = m_loyalPrograms.find(program);
+    if (loyal != m_loyalPrograms.end() && !m_knownEndpoints.empty()) {
+        if (!m_knownEndpoints.contains(loyal->second)) {
+            loyal->second = anyKnownEndpoint();
+        }
+        return {loyal->second, keepsConnection};
+    }
     if (randomFraction() < OpenConnectionShare) {
         const std::optional<Endpoint> open = m_connections.anyIdle(m_random);
         if (open.has_value()) {
             return {*open, true};
         }
     }
-    Route route{m_frontEndpoints[m_random() % m_frontEndpoints.size()],
-                randomFraction() < KeptShare};
-    if (randomFraction() < KnownAddressShare && !m_knownEndpoints.empty()) {
-        const std::size_t known = m_random() % m_knownEndpoints.size();
-        route.front = *std::next(m_knownEndpoints.begin(), static_cast<long>(known));
-    }
-    return route;
+    return {m_frontEndpoints[m_random() % m_frontEndpoints.size()], keepsConnection};
 }
 
 asio::awaitable<AttemptResult> Callers::callOnce(Route route, std::string id,
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -101,8 +101,10 @@
      */
     boost::asio::awaitable<std::string> callWithRetries(Attempt attempt, std::string target,
                                                         std::vector<HttpField> fields);
-    /** An open connection, an address in use, or one of which the directory once told. */
-    Route chooseRoute();
+    /** The VM to which a program is loyal, any open connection, or an address in use. */
+    Route chooseRoute(const std::string &program);
+    /** Any address of which the directory once told. */
+    Endpoint anyKnownEndpoint();
     /** Assigns turns and a budget to a new program. */
     void planTurns(Program &program);
     boost::asio::awaitable<AttemptResult> callOnce(Route route, std::string id,
@@ -119,6 +121,8 @@
     std::vector<Endpoint> m_frontEndpoints;
     /** Addresses of which the directory told, until they refuse connections. */
     std::set<Endpoint> m_knownEndpoints;
+    /** Programs that use one VM until it refuses connections, and that VM. */
+    std::map<std::string, Endpoint> m_loyalPrograms;
     KeptConnections m_connections;
     std::map<std::string, Conversation> m_conversations;
     const Clock &m_clock;
--- a/soak/fault_history.h
+++ b/soak/fault_history.h
@@ -52,6 +52,9 @@
     /** The replica of a site, or the link to it, begins or ceases to be disrupted. */
     void recordSite(std::size_t site, bool begins, SteadyTime now);
     void recordConfiguration(SteadyTime now) { m_configurations.push_back(now); }
+    /** Turns and other streams that all replicas can run at a time. */
+    void recordTurnSlots(std::size_t slots) { m_turnSlots = slots; }
+    std::size_t turnSlots() const { return m_turnSlots; }
     /** All VMs were killed at the same moment. */
     void recordPowerLoss(SteadyTime now) { m_powerLosses.push_back(now); }
 
@@ -92,6 +95,7 @@
     std::map<std::string, std::size_t> m_siteOfReplica;
     std::vector<SteadyTime> m_configurations;
     std::vector<SteadyTime> m_powerLosses;
+    std::size_t m_turnSlots = 0;
 };
 
 } // namespace boragepath::soak
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -100,7 +100,7 @@
     }
     Record &record = found->second;
     record.runs += 1;
-    record.runFacts.push_back({replica, std::nullopt, false});
+    record.runFacts.push_back({replica, m_clock.now(), std::nullopt, false});
     m_counts["run by replicas"] += 1;
     if (record.runs > 1 && !mayRunMoreThanOnce(record.attempt.kind)) {
         addViolation("TWICE", id, absl::StrCat("ran again on replica ", replica));
--- a/soak/lost_checks.cpp
+++ b/soak/lost_checks.cpp
@@ -180,6 +180,27 @@
     return tokensAtMost(calls, first.program, turn.endedAt()) + first.maxTokens <= first.budget;
 }
 
+/** The replicas that run turns were under half full when each try of a turn was sent. */
+bool replicasHadRoom(const Turn &turn, const std::vector<CallFacts> &calls,
+                     const FaultHistory &history)
+{
+    const auto runningAt = [&](SteadyTime time) {
+        std::size_t running = 0;
+        for (const CallFacts &call : calls) {
+            running += static_cast<std::size_t>(
+                call.maxTokens == 0
+                    ? 0
+                    : std::count_if(call.runs.begin(), call.runs.end(), [&](const RunFacts &run) {
+                          return run.startedAt <= time && run.endedAt.value_or(time) >= time;
+                      }));
+        }
+        return running;
+    };
+    return std::all_of(turn.tries.begin(), turn.tries.end(), [&](const CallFacts *call) {
+        return 2 * runningAt(call->sentAt) < history.turnSlots();
+    });
+}
+
 /** Of the turns without a previous one that were sent in a span, at least this share is served. */
 bool firstTurnsAreServed(const TurnIndex &index, SteadyTime from, SteadyTime to, double share)
 {
@@ -216,7 +237,7 @@
     const SteadyTime from = turn.sentAt() - ContactTime;
     return static_cast<std::size_t>(tries) >= MinTries && history.isAllCalm(from, turn.endedAt())
         && firstTurnsAreServed(index, from, turn.endedAt(), FirstTurnsServed)
-        && hasBudgetLeft(turn, calls);
+        && hasBudgetLeft(turn, calls) && replicasHadRoom(turn, calls, history);
 }
 
 /** Sent when all VMs had long been back after a loss of power, in calm; others are served. */
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -293,6 +293,7 @@
         deployment.replicas.push_back(makeReplicaSite(deployment, options, index, service));
         startReplica(deployment, index, {newReplicaId(deployment), "v1"});
     }
+    checker.faults().recordTurnSlots(options.replicas * PlatformReplica::Slots);
     writeConfiguration(deployment);
     Outcome outcome;
     Callers callers(context, clock, checker, directoryEndpoints, deployment.organisations,
--- a/standin/platform_replica.h
+++ b/standin/platform_replica.h
@@ -114,6 +114,8 @@
     void onRunEnd(OnRunEnd task) { m_onRunEnd = std::move(task); }
     /** The requests that it ran, in order; the oldest are dropped beyond 10,000. */
     const std::deque<ReplicaRun> &runs() const { return m_runs; }
+    /** Requests that it runs at a time. */
+    static constexpr int Slots = 8;
     /** Part of the targets of requests that take replicas long. */
     static constexpr const char *SlowMark = "/slow";
     /** True if replicas crash when they run requests to the target. */
