--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -415,7 +415,7 @@
             co_await sleepFor(ResolveInterval);
             continue;
         }
-        const Route route = chooseRoute(attempt.program);
+        const Route route = chooseRoute(attempt);
         const std::string id = nextId("call");
         m_checker.recordSent(id, attempt, route.front);
         const AttemptResult attemptResult = co_await callOnce(route, id, attempt, target, fields);
@@ -448,17 +448,19 @@
     return *std::next(m_knownEndpoints.begin(), static_cast<long>(known));
 }
 
-Callers::Route Callers::chooseRoute(const std::string &program)
+Callers::Route Callers::chooseRoute(const Attempt &attempt)
 {
     const bool keepsConnection = randomFraction() < KeptShare;
-    const auto loyal = m_loyalPrograms.find(program);
-    if (loyal != m_loyalPrograms.end() && !m_knownEndpoints.empty()) {
+    // A further try goes to any VM, since the first one has failed its caller.
+    const bool isFirstTry = attempt.firstTry.empty();
+    const auto loyal = m_loyalPrograms.find(attempt.program);
+    if (isFirstTry && loyal != m_loyalPrograms.end() && !m_knownEndpoints.empty()) {
         if (!m_knownEndpoints.contains(loyal->second)) {
             loyal->second = anyKnownEndpoint();
         }
         return {loyal->second, keepsConnection};
     }
-    if (randomFraction() < OpenConnectionShare) {
+    if (isFirstTry && randomFraction() < OpenConnectionShare) {
         const std::optional<Endpoint> open = m_connections.anyIdle(m_random);
         if (open.has_value()) {
             return {*open, true};
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -102,7 +102,7 @@
     boost::asio::awaitable<std::string> callWithRetries(Attempt attempt, std::string target,
                                                         std::vector<HttpField> fields);
     /** The VM to which a program is loyal, any open connection, or an address in use. */
-    Route chooseRoute(const std::string &program);
+    Route chooseRoute(const Attempt &attempt);
     /** Any address of which the directory once told. */
     Endpoint anyKnownEndpoint();
     /** Assigns turns and a budget to a new program. */
