--- a/soak/lost_checks.cpp
+++ b/soak/lost_checks.cpp
@@ -216,10 +216,13 @@
     return sent >= MinOthers && static_cast<double>(served) >= share * static_cast<double>(sent);
 }
 
-std::string describeTries(const Turn &turn)
+std::string describeTries(const Turn &turn, const std::vector<CallFacts> &calls)
 {
-    std::string text = absl::StrCat("program ", turn.tries.front()->program, ", continues ",
-                                    turn.tries.front()->previousTurn, ", tries:");
+    const CallFacts &first = *turn.tries.front();
+    std::string text =
+        absl::StrCat("program ", first.program, " has used at most ",
+                     tokensAtMost(calls, first.program, turn.endedAt()), " of ", first.budget,
+                     " tokens, continues ", first.previousTurn, ", tries:");
     for (const CallFacts *call : turn.tries) {
         absl::StrAppend(&text, " ", call->id, " at ", call->front.text(), " (", call->status, ")");
     }
@@ -267,9 +270,9 @@
             continue;
         }
         if (isLostWithPower(turn, index, calls, history)) {
-            lost.push_back({"LOST-POWER", id, describeTries(turn)});
+            lost.push_back({"LOST-POWER", id, describeTries(turn, calls)});
         } else if (isStuckTurn(turn, index, calls, history)) {
-            lost.push_back({"LOST-TURN", id, describeTries(turn)});
+            lost.push_back({"LOST-TURN", id, describeTries(turn, calls)});
         }
     }
 }
