Count an acknowledgement only for the list of witnesses that it names

Found by a review: a VM that was cut off is replaced, since its witnesses say that it has lent nothing. Another witness restarts, and the VM, still without the store, tells its witnesses of a new list that it can't write.

Cause: acknowledgements were kept by the witness's name alone, so that one of the new list counted for the list in force, for which the witness had testified. They are kept by list and witness now; notes name the list already.

--- a/control/outage/lending_rights.cpp
+++ b/control/outage/lending_rights.cpp
@@ -55,8 +55,9 @@
     // A witness that has restarted may have said before that nothing was lent, so that it counts as
     // one that doesn't know.
     const auto knowing = std::count_if(
-        list->witnesses.begin(), list->witnesses.end(),
-        [this](const std::string &witness) { return m_acknowledged.contains(witness); });
+        list->witnesses.begin(), list->witnesses.end(), [this, &list](const std::string &witness) {
+            return m_acknowledged.contains({list->revision, witness});
+        });
     return static_cast<std::size_t>(knowing) < acknowledgementsNeeded(*list);
 }
 
@@ -124,7 +125,7 @@
         return;
     }
     const bool couldLend = mayLend();
-    m_acknowledged.insert(note.witness);
+    m_acknowledged.insert({note.revision, note.witness});
     if (!couldLend && mayLend()) {
         m_onGranted();
     }
--- a/control/outage/lending_rights.h
+++ b/control/outage/lending_rights.h
@@ -57,6 +57,15 @@
     void handleAcknowledgement(const peers::LendingNote &note);
 
 private:
+    /** A witness may refuse a list that it has testified for, and acknowledge a later one. */
+    struct Acknowledgement
+    {
+        std::int64_t revision = 0;
+        std::string witness;
+
+        friend auto operator<=>(const Acknowledgement &, const Acknowledgement &) = default;
+    };
+
     /** True if @p list may be the one in the row and lacks acknowledgements. */
     bool lacksAcknowledgements(const std::optional<WitnessList> &list) const;
     /** The list to write; none if the one in the row still serves. */
@@ -89,8 +98,8 @@
     bool m_isLending = false;
     SteadyTime m_requestedAt;
     bool m_noticesScheduled = false;
-    /** Witnesses that have acknowledged the last notice. */
-    std::set<std::string> m_acknowledged;
+    /** For the last notice. */
+    std::set<Acknowledgement> m_acknowledged;
 };
 
 } // namespace boragepath
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -347,6 +347,47 @@
     }
 }
 
+/**
+ * A VM that was cut off is replaced, since its witnesses say that it has lent nothing. Another
+ * witness restarts, and the VM, still without the store, names witnesses for a new list that it
+ * can't write. What the old witnesses acknowledge for the new list is none for the old one.
+ */
+TEST(BudgetLending, AnAcknowledgementOfAListThatIsNotWrittenIsNoneOfTheListInForce)
+{
+    for (const std::size_t vms : {4, 5, 6}) {
+        for (std::size_t restarted = 1; restarted < vms; ++restarted) {
+            LendingFleet fleet(vms);
+            const std::size_t lender = fleet.lenderOf("p");
+            LendingVm &cut = fleet.vm(lender);
+            fleet.cutOff.insert(cut.vms.self().vm);
+            cut.store.isAway = true;
+            const auto isReplaced = [&] {
+                const LenderTable table =
+                    decodeLenderTable(fleet.store.rows().at({"budget-lenders", "", "all"}).value)
+                        .value();
+                return table[lenderPartition(ProgramId("p"))].lender
+                    != incarnationName(cut.vms.self());
+            };
+            for (int step = 0; step < 200 && !isReplaced(); ++step) {
+                fleet.timers.run(Milliseconds(100));
+            }
+            ASSERT_TRUE(isReplaced());
+            fleet.crash((lender + restarted) % vms);
+            fleet.cutOff.clear();
+            fleet.timers.run(Milliseconds(1'500));
+            EXPECT_NE(fleet.reserve(lender, "p", Seconds(2)), ReservationResult::Granted)
+                << vms << " VMs, restarted " << restarted;
+            for (int turn = 0; turn < 5; ++turn) {
+                for (std::size_t vm = 0; vm < vms; ++vm) {
+                    fleet.reserve(vm, "p");
+                }
+            }
+            EXPECT_LE(fleet.grantedTokens["p"], Budget + MaxTurnTokens)
+                << vms << " VMs, restarted " << restarted;
+        }
+    }
+}
+
 /** Nobody is left that knows whether the lost lenders have lent. */
 TEST(BudgetLending, LendersThatAreLostWithTheirWitnessesCountAsHavingLent)
 {
