Require the next id of a stream only once its ids are known to grow by one

Found by a review: ids of events have only to increase. A caller that took up a sound stream whose ids grow by ten got 502, since its next id was not one more than the last; so did a stream that went on at another replica after a single event.

Whether ids grow by one is known from the second event of an answer on. Until then any later id goes on, so that a caller's stream that goes on at 4 after 2 is passed on: it can't be told from one that grows by two.

--- a/backends/stream_position.cpp
+++ b/backends/stream_position.cpp
@@ -28,8 +28,9 @@
     if (!event.id.has_value()) {
         return EventPlace::Elsewhere;
     }
-    const bool isNext = position.isConsecutive ? followsDirectly(*event.id, *position.lastEventId)
-                                               : *event.id > *position.lastEventId;
+    const bool isNext = position.isConsecutive.value_or(false)
+        ? followsDirectly(*event.id, *position.lastEventId)
+        : *event.id > *position.lastEventId;
     return isNext ? EventPlace::Next : EventPlace::Elsewhere;
 }
 
@@ -43,8 +44,8 @@
         return;
     }
     if (position.lastEventId.has_value()) {
-        position.isConsecutive =
-            position.isConsecutive && followsDirectly(*event.id, *position.lastEventId);
+        position.isConsecutive = position.isConsecutive.value_or(true)
+            && followsDirectly(*event.id, *position.lastEventId);
     }
     position.lastEventId = event.id;
 }
--- a/backends/stream_position.h
+++ b/backends/stream_position.h
@@ -12,8 +12,9 @@
 {
     /** Id of the last event that the caller has; another replica goes on after it. */
     std::optional<std::int64_t> lastEventId;
-    /** Each id has been one more than the one before, as far as the events of this answer tell. */
-    bool isConsecutive = true;
+    /** Each id has been one more than the one before; not known before two events of this answer.
+     */
+    std::optional<bool> isConsecutive;
     /** The last event has data and no id, so that no replica can go on after it. */
     bool endsWithoutId = false;
 };
