--- a/tests/platform/planned_stop_process_test.cpp
+++ b/tests/platform/planned_stop_process_test.cpp
@@ -337,6 +337,14 @@
     EXPECT_GT(servedAfter(m_grace / 4), 0U);
 }
 
+// The end is looked for each 50 ms, and its margin in a grace of 1 s is 41 ms.
+TEST_F(PlannedStopOfProcess, EndsInTimeInAGraceOfASecond)
+{
+    start(Seconds(1));
+    stopUnderLoad();
+    expectNoneLost();
+}
+
 TEST_F(PlannedStopOfProcess, EndsInTimeWithAnotherGraceOfTheSettingsAndASecondSignal)
 {
     start(Seconds(6));
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -231,4 +231,31 @@
     EXPECT_EQ(replica.heads.size(), 1U);
 }
 
+// Two requests arrive together. The second one has been read with the first, and its connection was
+// closed without an answer to it.
+TEST_F(PlannedStop, ARequestThatWasReadTogetherWithTheOneBeforeIsAnswered)
+{
+    stop(Milliseconds(100), Grace);
+    m_delay = Milliseconds(400);
+    const auto caller = connectCaller();
+    const std::string both =
+        callRequest("/tool/x", "a", "body") + callRequest("/tool/x", "b", "body");
+    const std::string answer = exchangeOn(*caller, both, "<closed>");
+    EXPECT_EQ(m_counters.served, 2U);
+    EXPECT_THAT(answer, testing::HasSubstr("Attempt-Id: b\r\n"));
+}
+
+// The same at the end of the stop: neither served nor refused.
+TEST_F(PlannedStop, ARequestThatWasReadTogetherWithTheOneBeforeIsRefusedAtTheEnd)
+{
+    m_delay = Milliseconds(400);
+    const auto caller = connectCaller();
+    m_timers.after(Milliseconds(100), [this] { m_front.close(); });
+    const std::string both =
+        callRequest("/tool/x", "a", "body") + callRequest("/tool/x", "b", "body");
+    const std::string answer = exchangeOn(*caller, both, "<closed>");
+    EXPECT_THAT(answer, testing::HasSubstr("HTTP/1.1 200"));
+    EXPECT_THAT(answer, testing::HasSubstr("HTTP/1.1 503"));
+}
+
 } // namespace boragepath::platform
