--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -173,7 +173,7 @@
     EXPECT_TRUE(m_replica->heads.empty());
 }
 
-// Calls that were left at the end of the grace were cut without a word.
+// The connections of calls that were left at the end of the grace were closed without an answer.
 TEST_F(PlannedStop, CallsThatAreLeftAtTheEndAreAnsweredAsFailed)
 {
     m_delay = Milliseconds(1'000);
