Plain names: programs that use one VM, calls that are all accepted, turns refused in calm

m_loyalPrograms, anyDeadlineUntil and isStuckTurn say m_pinnedVms, acceptsAllUntil and isRefusedInCalm.

--- a/control/drain/stop_plan.cpp
+++ b/control/drain/stop_plan.cpp
@@ -29,7 +29,7 @@
     grace = std::max(grace, Milliseconds(0));
     StopPlan plan;
     plan.startedAt = startedAt;
-    plan.anyDeadlineUntil = startedAt + std::min(AddressUse, grace / AddressUseDivisor);
+    plan.acceptsAllUntil = startedAt + std::min(AddressUse, grace / AddressUseDivisor);
     plan.callsEnd = startedAt + grace - std::min(EndMargin, grace / EndMarginDivisor);
     plan.processEnd = startedAt + grace - std::min(ExitMargin, grace / ExitMarginDivisor);
     return plan;
@@ -38,7 +38,7 @@
 bool mayPassOn(const StopPlan &plan, SteadyTime now, SteadyTime deadline)
 {
     const bool endsInTime = deadline + AnswerMargin <= plan.callsEnd;
-    return now < plan.anyDeadlineUntil || (endsInTime && now < plan.callsEnd);
+    return now < plan.acceptsAllUntil || (endsInTime && now < plan.callsEnd);
 }
 
 } // namespace boragepath
--- a/control/drain/stop_plan.h
+++ b/control/drain/stop_plan.h
@@ -17,7 +17,7 @@
 {
     SteadyTime startedAt;
     /** Until then calls are passed on whatever their deadlines are. */
-    SteadyTime anyDeadlineUntil;
+    SteadyTime acceptsAllUntil;
     /** Calls that replicas still work on are broken off. */
     SteadyTime callsEnd;
     /** The process ends, even if something is left to do. */
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -56,7 +56,7 @@
 constexpr double KeptShare = 0.5;
 constexpr double OpenConnectionShare = 0.3;
 /** Fraction of programs that use one VM until its process is gone. */
-constexpr double LoyalShare = 0.5;
+constexpr double OneVmShare = 0.5;
 constexpr std::size_t MaxContinued = 60;
 constexpr double DisconnectShare = 0.03;
 /** Fraction of resumable streams that their callers break off after some events. */
@@ -196,8 +196,8 @@
         Program program;
         program.id = nextId("program");
         planTurns(program);
-        if (randomFraction() < LoyalShare && !m_knownEndpoints.empty()) {
-            m_loyalPrograms[program.id] = anyKnownEndpoint();
+        if (randomFraction() < OneVmShare && !m_knownEndpoints.empty()) {
+            m_pinnedVms[program.id] = anyKnownEndpoint();
         }
         joinOrganisation(program);
         asio::co_spawn(m_context, runProgram(program), asio::detached);
@@ -453,12 +453,12 @@
     const bool keepsConnection = randomFraction() < KeptShare;
     // A further try goes to any VM, since the first one has failed its caller.
     const bool isFirstTry = attempt.firstTry.empty();
-    const auto loyal = m_loyalPrograms.find(attempt.program);
-    if (isFirstTry && loyal != m_loyalPrograms.end() && !m_knownEndpoints.empty()) {
-        if (!m_knownEndpoints.contains(loyal->second)) {
-            loyal->second = anyKnownEndpoint();
+    const auto pinned = m_pinnedVms.find(attempt.program);
+    if (isFirstTry && pinned != m_pinnedVms.end() && !m_knownEndpoints.empty()) {
+        if (!m_knownEndpoints.contains(pinned->second)) {
+            pinned->second = anyKnownEndpoint();
         }
-        return {loyal->second, keepsConnection};
+        return {pinned->second, keepsConnection};
     }
     if (isFirstTry && randomFraction() < OpenConnectionShare) {
         const std::optional<Endpoint> open = m_connections.anyIdle(m_random);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -101,7 +101,7 @@
      */
     boost::asio::awaitable<std::string> callWithRetries(Attempt attempt, std::string target,
                                                         std::vector<HttpField> fields);
-    /** The VM to which a program is loyal, any open connection, or an address in use. */
+    /** The one VM that the program uses, any open connection, or an address in use. */
     Route chooseRoute(const Attempt &attempt);
     /** Any address of which the directory once told. */
     Endpoint anyKnownEndpoint();
@@ -122,7 +122,7 @@
     /** Addresses of which the directory told, until they refuse connections. */
     std::set<Endpoint> m_knownEndpoints;
     /** Programs that use one VM until it refuses connections, and that VM. */
-    std::map<std::string, Endpoint> m_loyalPrograms;
+    std::map<std::string, Endpoint> m_pinnedVms;
     KeptConnections m_connections;
     std::map<std::string, Conversation> m_conversations;
     const Clock &m_clock;
--- a/soak/lost_checks.cpp
+++ b/soak/lost_checks.cpp
@@ -230,8 +230,8 @@
 }
 
 /** In calm, in five tries or more at VMs in touch, no replica was reached though others are. */
-bool isStuckTurn(const Turn &turn, const TurnIndex &index, const std::vector<CallFacts> &calls,
-                 const FaultHistory &history)
+bool isRefusedInCalm(const Turn &turn, const TurnIndex &index, const std::vector<CallFacts> &calls,
+                     const FaultHistory &history)
 {
     const auto inTouch = [&](const CallFacts *call) {
         return history.isInTouch(call->front, call->sentAt - ContactTime, call->connection.endedAt);
@@ -271,7 +271,7 @@
         }
         if (isLostWithPower(turn, index, calls, history)) {
             lost.push_back({"LOST-POWER", id, describeTries(turn, calls)});
-        } else if (isStuckTurn(turn, index, calls, history)) {
+        } else if (isRefusedInCalm(turn, index, calls, history)) {
             lost.push_back({"LOST-TURN", id, describeTries(turn, calls)});
         }
     }
--- a/tests/control/stop_plan_test.cpp
+++ b/tests/control/stop_plan_test.cpp
@@ -58,7 +58,7 @@
         EXPECT_GE(plan.callsEnd, Start + grace - grace / Sixth);
         EXPECT_LT(plan.callsEnd, plan.processEnd);
         EXPECT_LT(plan.processEnd, Start + grace);
-        EXPECT_LT(plan.anyDeadlineUntil, plan.callsEnd);
+        EXPECT_LT(plan.acceptsAllUntil, plan.callsEnd);
     }
 }
 
