Review: case 10, turns of the allowed size end the process

Shows: Fault. 12 callers at a time, each with one turn of maxBodyBytes (4,194,304 bytes) at a VM with 140 MB, end its process, three times at each of two VMs; with 6 callers all are answered.

--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -768,14 +768,25 @@
 
 // --- Callers -------------------------------------------------------------------
 
-Message exchange(const std::string &address, int port, const Message &request, Millis limit)
+Channel::Channel(const std::string &address, int port)
+    : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    const int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in name = socketAddress(address, port);
+    if (connect(m_socket, reinterpret_cast<const sockaddr *>(&name), sizeof name) != 0) {
+        m_problem = std::string("connect: ") + std::strerror(errno);
+    }
+}
+
+Channel::~Channel()
+{
+    close(m_socket);
+}
+
+Message Channel::exchange(const Message &request, Millis limit)
+{
     Message response;
-    if (connect(connection, reinterpret_cast<const sockaddr *>(&name), sizeof name) != 0) {
-        response.problem = std::string("connect: ") + std::strerror(errno);
-        close(connection);
+    response.problem = m_problem;
+    if (!m_problem.empty()) {
         return response;
     }
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -786,15 +797,19 @@
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     }
     text += "\r\n" + request.body;
-    if (sendAll(connection, text)) {
-        response = ResponseReader(connection, Clock::now() + limit).read();
+    if (sendAll(m_socket, text)) {
+        response = ResponseReader(m_socket, Clock::now() + limit).read();
     } else {
         response.problem = "not sent";
     }
-    close(connection);
     return response;
 }
 
+Message exchange(const std::string &address, int port, const Message &request, Millis limit)
+{
+    return Channel(address, port).exchange(request, limit);
+}
+
 Message turn(const std::string &prefix, const std::string &attempt, const std::string &program,
              const std::string &body)
 {
@@ -912,14 +927,14 @@
     }
 }
 
-std::int64_t Fleet::residentKilobytes(std::size_t index) const
+std::int64_t Fleet::anonymousKilobytes(std::size_t index) const
 {
     const pid_t process = m_vms[index].process;
     std::ifstream file("/proc/" + std::to_string(process) + "/status");
     std::string line;
     while (process > 0 && std::getline(file, line)) {
-        if (line.rfind("VmRSS:", 0) == 0) {
-            return std::stoll(line.substr(std::string("VmRSS:").size()));
+        if (line.rfind("RssAnon:", 0) == 0) {
+            return std::stoll(line.substr(std::string("RssAnon:").size()));
         }
     }
     return 0;
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -259,7 +259,24 @@
     static constexpr int Replica = 8'080;
 };
 
-/** Sends one request and reads its answer. */
+/** A connection of a caller, which it keeps for several requests. */
+class Channel
+{
+public:
+    Channel(const std::string &address, int port);
+    ~Channel();
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
+
+    /** Sends one request and reads its answer. */
+    Message exchange(const Message &request, Millis limit);
+
+private:
+    int m_socket = -1;
+    std::string m_problem;
+};
+
+/** The same on a connection of its own. */
 Message exchange(const std::string &address, int port, const Message &request, Millis limit);
 
 /** A request with the fields of a turn; callers add what is special. */
@@ -283,8 +300,8 @@
     const std::string &address(std::size_t vm) const { return m_vms[vm].address; }
     void start(std::size_t vm);
     void kill(std::size_t vm);
-    /** Resident memory of the process, in kB; 0 if it does not run. */
-    std::int64_t residentKilobytes(std::size_t vm) const;
+    /** Memory of the process without its mapped files, in kB; 0 if it does not run. */
+    std::int64_t anonymousKilobytes(std::size_t vm) const;
     /** True once all VMs count as ready and know each other and the replicas. */
     bool waitUntilReady() const;
 
