--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,3 +13,6 @@
         g++ "${flags[@]}" "$source" "$out/harness.o" -o "$out/case-$number"
     fi
 done
+for source in review/harness-2/trials/*.cpp; do
+    g++ "${flags[@]}" "$source" "$out/harness.o" -o "$out/trial-$(basename "$source" .cpp)"
+done
