--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -165,6 +165,12 @@
     return value != nullptr && value->is_string() ? std::string(value->as_string()) : "";
 }
 
+/** The clock of the store. */
+std::int64_t steadyMillis()
+{
+    return std::chrono::duration_cast<Millis>(Clock::now().time_since_epoch()).count();
+}
+
 std::int64_t unixMillis()
 {
     return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
@@ -546,7 +552,8 @@
     }
     if (!holds) {
         status = StatusConflict;
-        return json::serialize(json::object{{"rows", current}, {"ver", m_version}, {"nowMs", 0}});
+        return json::serialize(
+            json::object{{"rows", current}, {"ver", m_version}, {"nowMs", steadyMillis()}});
     }
     m_version += 1;
     for (const json::value &item : call.at("puts").as_array()) {
@@ -556,7 +563,7 @@
         apply(nameOf(item.as_object()), std::nullopt);
     }
     m_changed.notify_all();
-    return json::serialize(json::object{{"ver", m_version}, {"nowMs", 0}});
+    return json::serialize(json::object{{"ver", m_version}, {"nowMs", steadyMillis()}});
 }
 
 std::string Store::read(const std::map<std::string, std::string> &query)
@@ -589,8 +596,8 @@
                                     {"value", row.value},
                                     {"ver", row.version}});
     }
-    return json::serialize(
-        json::object{{"rows", rows}, {"morePages", hasMore}, {"ver", m_version}, {"nowMs", 0}});
+    return json::serialize(json::object{
+        {"rows", rows}, {"morePages", hasMore}, {"ver", m_version}, {"nowMs", steadyMillis()}});
 }
 
 std::string Store::feed(const std::map<std::string, std::string> &query)
@@ -629,7 +636,8 @@
         }
         rows.push_back(std::move(item));
     }
-    return json::serialize(json::object{{"rows", rows}, {"ver", m_version}, {"nowMs", 0}});
+    return json::serialize(
+        json::object{{"rows", rows}, {"ver", m_version}, {"nowMs", steadyMillis()}});
 }
 
 // --- Replicas ------------------------------------------------------------------
