Review: a replica of the stand-ins that crashes refuses connections at once

It closed the connection of its request before its port, so that the trial of restarts also broke with TROUBLE=0 on a busy machine: the daemon found the port open and took the end for a broken answer. A process that ends does not do that.

--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -419,6 +419,11 @@
     m_connections.erase(connection);
 }
 
+void Server::refuseConnections() const
+{
+    shutdown(m_listener, SHUT_RDWR);
+}
+
 void Server::stop()
 {
     if (m_stopped.exchange(true)) {
@@ -758,6 +763,8 @@
         return;
     }
     m_wake.notify_all();
+    // A process that ends refuses connections no later than its own ones are closed.
+    m_server->refuseConnections();
     // Runs on a thread of its own: the caller is a thread of the server that stops.
     m_crash = std::thread([this] { m_server->stop(); });
 }
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -102,7 +102,9 @@
     Server &operator=(const Server &) = delete;
     ~Server();
 
-    /** Closes all connections; new ones are refused from now on. */
+    /** New connections are refused from now on. */
+    void refuseConnections() const;
+    /** Closes all connections, too. */
     void stop();
 
 private:
