--- a/control/turn_archive.cpp
+++ b/control/turn_archive.cpp
@@ -160,7 +160,8 @@
     snapshot.segmentedBytes = text.size();
     text += search.record.tail;
     if (isSegment(search.record)) {
-        snapshot.segments.push_back({search.turn, search.record.recordedAtMillis});
+        snapshot.segments.push_back(
+            {search.turn, search.record.recordedAtMillis, search.record.keptUntilMillis});
         snapshot.segmentedBytes = text.size();
     }
     snapshot.text = std::make_shared<const std::string>(std::move(text));
@@ -174,7 +175,8 @@
 {
     m_pending += 1;
     const PlannedTurn planned =
-        planTurn(turn, previous, std::move(text), unixMillis(m_clock.wallNow()));
+        planTurn(turn, previous, std::move(text), unixMillis(m_clock.wallNow()),
+                 std::chrono::ceil<Milliseconds>(turnRetention));
     PendingRecord pendingRecord{turn,
                                 encodeTurnRecord(planned.record),
                                 planned.snapshot,
@@ -237,10 +239,8 @@
 
 void TurnArchive::scheduleExpiry(const PendingRecord &pendingRecord)
 {
-    // Other turns may refer to a segment until it reaches the maximum age. It must be kept as long
-    // as the last of them.
-    const Duration reusePeriod =
-        pendingRecord.isSegment ? Milliseconds(MaxSegmentAgeMillis) : Milliseconds(0);
+    // A segment is kept at least until the time that its record names (planTurn()).
+    const Duration reusePeriod = pendingRecord.isSegment ? SegmentReusePeriod : Milliseconds(0);
     const SteadyTime due = m_clock.now() + pendingRecord.turnRetention + reusePeriod + ExpiryMargin;
     m_expiries.emplace(due, Expiry{pendingRecord.turn, turnRowCount(pendingRecord.text.size())});
     schedulePrune();
--- a/control/turn_record.cpp
+++ b/control/turn_record.cpp
@@ -19,16 +19,27 @@
 constexpr std::size_t MaxSegments = 8;
 
 constexpr const char *RowCountField = "rows";
+/** Older versions read neither of these, and ignore them. */
+constexpr const char *KeptUntilField = "kept_until";
+constexpr const char *SegmentsKeptUntilField = "segments_kept_until";
 /** The count is written with this many digits, so that it doesn't change the record's length. */
 constexpr std::size_t RowCountDigits = 4;
 
 std::string headOf(const ArchivedTurn &record, std::optional<std::size_t> rowCount)
 {
     json::array segments;
+    json::array segmentsKeptUntil;
     for (const SegmentRef &segment : record.segments) {
         segments.push_back(json::array{segment.turn.value(), segment.recordedAtMillis});
+        segmentsKeptUntil.push_back(segment.keptUntilMillis);
     }
     json::object head{{"at", record.recordedAtMillis}, {"segments", std::move(segments)}};
+    if (record.keptUntilMillis != 0) {
+        head[KeptUntilField] = record.keptUntilMillis;
+    }
+    if (!segmentsKeptUntil.empty()) {
+        head[SegmentsKeptUntilField] = std::move(segmentsKeptUntil);
+    }
     if (rowCount.has_value()) {
         head[RowCountField] = absl::StrFormat("%0*d", RowCountDigits, *rowCount);
     }
@@ -46,12 +57,12 @@
         && count == turnRowCount(text.size());
 }
 
-bool segmentsReusable(const ConversationSnapshotPtr &previous, std::int64_t nowMillis)
+bool segmentsReusable(const ConversationSnapshotPtr &previous, std::int64_t neededUntilMillis)
 {
     return previous != nullptr && previous->segments.size() < MaxSegments
         && std::all_of(previous->segments.begin(), previous->segments.end(),
-                       [nowMillis](const SegmentRef &segment) {
-                           return nowMillis < segment.recordedAtMillis + MaxSegmentAgeMillis;
+                       [neededUntilMillis](const SegmentRef &segment) {
+                           return neededUntilMillis < segment.keptUntilMillis;
                        });
 }
 
@@ -63,11 +74,12 @@
 }
 
 PlannedTurn planTurn(const AttemptId &turn, const ConversationSnapshotPtr &previous,
-                     std::string text, std::int64_t nowMillis)
+                     std::string text, std::int64_t nowMillis, Milliseconds retention)
 {
     PlannedTurn planned;
     ConversationSnapshot snapshot;
-    if (segmentsReusable(previous, nowMillis)) {
+    const std::int64_t neededUntilMillis = nowMillis + retention.count();
+    if (segmentsReusable(previous, neededUntilMillis)) {
         snapshot.segments = previous->segments;
         snapshot.segmentedBytes = previous->segmentedBytes;
     }
@@ -75,7 +87,8 @@
     planned.record.segments = snapshot.segments;
     planned.record.tail = text.substr(snapshot.segmentedBytes);
     if (isSegment(planned.record)) {
-        snapshot.segments.push_back({turn, nowMillis});
+        planned.record.keptUntilMillis = neededUntilMillis + SegmentReusePeriod.count();
+        snapshot.segments.push_back({turn, nowMillis, planned.record.keptUntilMillis});
         snapshot.segmentedBytes = text.size();
     }
     snapshot.text = std::make_shared<const std::string>(std::move(text));
@@ -106,14 +119,18 @@
     }
     ArchivedTurn record;
     record.recordedAtMillis = integerAt(head.get_object(), "at");
+    record.keptUntilMillis = integerAt(head.get_object(), KeptUntilField);
+    const json::array &keptUntil = arrayAt(head.get_object(), SegmentsKeptUntilField);
     for (const json::value &item : arrayAt(head.get_object(), "segments")) {
         const json::array *pair = item.if_array();
         if (pair == nullptr || pair->size() != 2 || !pair->front().is_string()
             || !pair->back().is_int64()) {
             return std::nullopt;
         }
-        record.segments.push_back(
-            {AttemptId(std::string(pair->front().get_string())), pair->back().get_int64()});
+        const json::value *until = keptUntil.if_contains(record.segments.size());
+        record.segments.push_back({AttemptId(std::string(pair->front().get_string())),
+                                   pair->back().get_int64(),
+                                   until != nullptr && until->is_int64() ? until->get_int64() : 0});
     }
     record.tail = text.substr(headEnd + 1);
     return record;
--- a/control/turn_record.h
+++ b/control/turn_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/turn_rows.h"
+#include "core/clock.h"
 #include "core/ids.h"
 
 #include <cstdint>
@@ -17,6 +18,8 @@
     AttemptId turn;
     /** Wall-clock time of the recording, in milliseconds since the Unix epoch. */
     std::int64_t recordedAtMillis = 0;
+    /** Until when the record is in the store, on the same clock; 0 if that is not known. */
+    std::int64_t keptUntilMillis = 0;
 
     friend bool operator==(const SegmentRef &, const SegmentRef &) = default;
 };
@@ -26,10 +29,14 @@
 {
     /** Wall-clock time of the recording, in milliseconds since the Unix epoch. */
     std::int64_t recordedAtMillis = 0;
+    /** Until when the record is in the store if it is a segment; 0 if that is not known. */
+    std::int64_t keptUntilMillis = 0;
     /** Turns whose records hold the conversation before the tail, oldest first. */
     std::vector<SegmentRef> segments;
     /** The rest of the conversation, including this turn. */
     std::string tail;
+
+    friend bool operator==(const ArchivedTurn &, const ArchivedTurn &) = default;
 };
 
 /** The conversation up to one turn, and the segments in which the store holds it. */
@@ -56,14 +63,16 @@
  * Designed for long conversations: if each turn stored the whole conversation, the
  * space needed would grow with the square of its length. Instead a record holds only
  * the text after the last segment, and a record with a long tail becomes a segment
- * itself. A segment must not expire while it is referred to, so a turn refers only to
- * segments younger than MaxSegmentAgeMillis; otherwise it stores the whole conversation.
+ * itself. A segment must not expire while it is referred to, and the turns of a conversation
+ * may have different retentions, so a turn refers only to segments that are kept for as long
+ * as itself; otherwise it stores the whole conversation.
  *
  * @param previous the conversation that this turn continues, or null.
  * @param text the whole conversation, which begins with that of @p previous.
+ * @param retention how long this turn is kept.
  */
 PlannedTurn planTurn(const AttemptId &turn, const ConversationSnapshotPtr &previous,
-                     std::string text, std::int64_t nowMillis);
+                     std::string text, std::int64_t nowMillis, Milliseconds retention);
 
 /** True if later turns may refer to the turn of this record as a segment. */
 bool isSegment(const ArchivedTurn &record);
@@ -73,7 +82,7 @@
 /** Empty if @p text is not a valid record, or not all of it. */
 std::optional<ArchivedTurn> decodeTurnRecord(const std::string &text);
 
-/** How long after its recording new turns may refer to a turn as a segment. */
-inline constexpr std::int64_t MaxSegmentAgeMillis = 20'000;
+/** How much longer than its own retention a segment is kept, for later turns that refer to it. */
+inline constexpr Milliseconds SegmentReusePeriod{20'000};
 
 } // namespace boragepath
--- a/tests/control/turn_archive_test.cpp
+++ b/tests/control/turn_archive_test.cpp
@@ -49,6 +49,19 @@
         return done;
     }
 
+    /** The text up to a turn as a VM reads it that has started since; empty if it is not found. */
+    std::string findWithoutCache(const std::string &turn)
+    {
+        TurnArchive archive(clock, timers, store, health, 0, 1);
+        std::string text;
+        archive.find(AttemptId(turn), clock.now() + Seconds(1),
+                     [&](TurnLookup, const ConversationSnapshotPtr &snapshot) {
+                         text = snapshot == nullptr ? std::string() : *snapshot->text;
+                     });
+        timers.run(Seconds(1));
+        return text;
+    }
+
     ManualClock clock;
     ManualTimers timers;
     MemoryRowStore store;
@@ -155,7 +168,7 @@
     { }
 
     /** Adds a turn, and checks that the VM of this turn finds the whole conversation before it. */
-    void addTurn(const std::string &addedText)
+    void addTurn(const std::string &addedText, Seconds turnRetention = Seconds(60))
     {
         const AttemptId previous("turn-" + std::to_string(m_turns));
         ConversationSnapshotPtr previousSnapshot;
@@ -172,7 +185,7 @@
         text += addedText;
         bool done = false;
         vm().record(AttemptId("turn-" + std::to_string(m_turns)), previousSnapshot, text,
-                    Seconds(60), [&] { done = true; });
+                    turnRetention, [&] { done = true; });
         m_archives.timers.run(Milliseconds(100));
         ASSERT_TRUE(done);
     }
@@ -228,6 +241,42 @@
     }
 }
 
+// A turn was not found within its retention, since a turn before it, on a route that keeps turns
+// for a shorter time, held a part of its text and was removed.
+TEST(TurnArchive, KeepsTheTextOfEarlierTurnsThatAreKeptForAShorterTime)
+{
+    for (const Seconds pause : {Seconds(0), Seconds(15)}) {
+        SCOPED_TRACE(pause.count());
+        TwoArchives archives;
+        Dialogue dialogue(archives);
+        dialogue.addTurn(std::string(9'000, 'a'), Seconds(10));
+        archives.timers.run(pause);
+        dialogue.addTurn("short", Seconds(60));
+        archives.timers.run(Seconds(58));
+        EXPECT_EQ(archives.findWithoutCache("turn-2"), dialogue.text);
+    }
+}
+
+// A daemon of an earlier version has written the segment, and it is not known how long that is
+// kept.
+TEST(TurnArchive, RefersToNoSegmentThatMayBeRemovedBeforeTheTurn)
+{
+    const auto text = std::make_shared<const std::string>(9'000, 'a');
+    for (const std::int64_t keptUntil : {0, 69'999, 70'001}) {
+        ConversationSnapshot previous{
+            text, {{AttemptId("turn-1"), 1'000, keptUntil}}, text->size()};
+        const PlannedTurn planned =
+            planTurn(AttemptId("turn-2"), std::make_shared<const ConversationSnapshot>(previous),
+                     *text + "more", 10'000, Seconds(60));
+        EXPECT_EQ(planned.record.segments.size(), keptUntil > 70'000 ? 1U : 0U) << keptUntil;
+        EXPECT_EQ(decodeTurnRecord(encodeTurnRecord(planned.record)), planned.record);
+    }
+    const auto older = decodeTurnRecord(R"({"at":1,"segments":[["turn-1",1000]]})"
+                                        "\nmore");
+    ASSERT_TRUE(older.has_value());
+    EXPECT_EQ(older->segments.front().keptUntilMillis, 0);
+}
+
 TEST(TurnArchive, RemovesExpiredTurnsAtALimitedRate)
 {
     TwoArchives archives;
