--- a/control/budget_grants.cpp
+++ b/control/budget_grants.cpp
@@ -169,6 +169,7 @@
     grant.waiting.pop_front();
     grant.turns[served.request.turn] = {served.request.maxTokens,
                                         served.deadline + SettlementMargin};
+    grant.mayBorrow = grant.mayBorrow || served.request.mayBorrow;
     m_reservedLocally += 1;
     served.done(ReservationResult::Granted);
 }
@@ -181,6 +182,10 @@
     if (m_lenders == nullptr || !request.mayBorrow || !(isStoreSlow || m_health.unavailable())) {
         return LoanPermission::Denied;
     }
+    if (m_ledger.hasOnlyStoredTurns(program)) {
+        // A successor that doesn't know what was lent may reserve the whole budget of such a one.
+        return LoanPermission::Denied;
+    }
     const std::int64_t used =
         m_ledger.committedBesides(program, grant.id) + grant.spent + grant.uncertainTokens();
     const std::int64_t lendable = splitBudget(request.budget, request.maxTokens).lendable;
@@ -254,6 +259,7 @@
     request.maxTokens = uncertainTokens + first.maxTokens * TurnsPerGrant;
     request.maxTurnTokens = first.maxTokens;
     request.uncertainTokens = uncertainTokens;
+    request.mayBorrow = grant.mayBorrow || first.mayBorrow;
     request.replaces = grant.id;
     request.replacedSpent = grant.spent;
     grant.exchanging = true;
--- a/control/budget_grants.h
+++ b/control/budget_grants.h
@@ -95,6 +95,8 @@
         AttemptId id;
         /** Turns have used tokens that no reservation in the row covers. */
         bool hasLoan = false;
+        /** Some of its turns could borrow. */
+        bool mayBorrow = false;
         std::int64_t size = 0;
         std::int64_t spent = 0;
         /** The most tokens of turns that have not been settled in time; they may have run. */
--- a/control/outage/budget_lenders.cpp
+++ b/control/outage/budget_lenders.cpp
@@ -288,10 +288,23 @@
     return tenure.previous != PreviousTenure::Lost || isSettled(tenure);
 }
 
-bool BudgetLenders::hasFullAuthority(const ProgramId &program) const
+BudgetAuthority BudgetLenders::authorityOver(const ProgramId &program) const
 {
     const OwnTenure *tenure = validTenure(program);
-    return tenure != nullptr && isComplete(*tenure);
+    if (tenure != nullptr) {
+        return isComplete(*tenure) ? BudgetAuthority::Whole : BudgetAuthority::WholeOfStoredTurns;
+    }
+    return hasLiveLender(program) ? BudgetAuthority::Restricted
+                                  : BudgetAuthority::WholeOfStoredTurns;
+}
+
+bool BudgetLenders::hasLiveLender(const ProgramId &program) const
+{
+    if (m_table.empty()) {
+        return false;
+    }
+    const std::string &lender = m_table[lenderPartition(program)].lender;
+    return lender == m_self || m_vms.findLive(lender).has_value();
 }
 
 bool BudgetLenders::mayLend(const ProgramId &program, const ProgramKnowledge &knowledge) const
--- a/control/outage/budget_lenders.h
+++ b/control/outage/budget_lenders.h
@@ -4,6 +4,7 @@
 #include "control/outage/lending_rights.h"
 #include "control/outage/lending_witness.h"
 #include "control/outage/loss_inquiry.h"
+#include "control/program_ledger.h"
 #include "control/row_store.h"
 #include "control/vm_directory.h"
 #include "core/clock.h"
@@ -73,8 +74,17 @@
 
     /** Reads the lenders, and follows their changes from then on. */
     void start();
-    /** True if this VM may reserve the whole budget of a program. */
-    bool hasFullAuthority(const ProgramId &program) const;
+    /**
+     * How much of a program's budget this VM may reserve. While nobody knows what was lent, whole
+     * budgets of programs that are never lent to: by a lender that does not know what one before
+     * it has lent, or by all VMs while the lender can't be heard.
+     */
+    BudgetAuthority authorityOver(const ProgramId &program) const;
+    /** True if this VM may reserve the whole budget of a program, whatever turns it has. */
+    bool hasFullAuthority(const ProgramId &program) const
+    {
+        return authorityOver(program) == BudgetAuthority::Whole;
+    }
     /**
      * True if this VM may lend to a program: it has seen the program's row in its tenure, or can
      * tell that the program has used nothing but what this VM has lent.
@@ -129,6 +139,7 @@
     };
 
     const OwnTenure *validTenure(const ProgramId &program) const;
+    bool hasLiveLender(const ProgramId &program) const;
     /** Time after which programs that the new lender has not met have ended. */
     static Duration delayAfter(PreviousTenure previous);
     /** True if that time has passed. */
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -126,9 +126,9 @@
     });
 }
 
-void ProgramLedger::setAuthority(std::function<bool(const ProgramId &)> hasFullAuthority)
+void ProgramLedger::setAuthority(std::function<BudgetAuthority(const ProgramId &)> authorityOver)
 {
-    m_hasFullAuthority = std::move(hasFullAuthority);
+    m_authorityOver = std::move(authorityOver);
 }
 
 void ProgramLedger::setTenureLog(std::function<void(const ProgramId &, LogLine &)> describeTenure)
@@ -157,6 +157,12 @@
     return total;
 }
 
+bool ProgramLedger::hasOnlyStoredTurns(const ProgramId &program) const
+{
+    const auto found = m_programs.find(program);
+    return found != m_programs.end() && found->second.record.turns == ProgramTurns::StoredOnly;
+}
+
 std::vector<ProgramId> ProgramLedger::programsUsedSince(BootTime time) const
 {
     std::vector<ProgramId> programs;
@@ -299,6 +305,22 @@
     }
 }
 
+bool ProgramLedger::isRestricted(const ReservationRequest &request,
+                                 const ProgramRecord &record) const
+{
+    const BudgetAuthority authority =
+        m_authorityOver == nullptr ? BudgetAuthority::Whole : m_authorityOver(request.program);
+    switch (authority) {
+    case BudgetAuthority::Restricted:
+        break;
+    case BudgetAuthority::WholeOfStoredTurns:
+        return request.mayBorrow || record.turns == ProgramTurns::Any;
+    case BudgetAuthority::Whole:
+        return false;
+    }
+    return true;
+}
+
 /**
  * Decides what to do with @p change, and applies it to @p record if it is to be written.
  * @p record already contains the changes before it in the same transaction.
@@ -325,12 +347,13 @@
         settleTurn(changed, request.replaces, request.replacedSpent);
     }
     const std::int64_t needed = request.minTokens > 0 ? request.minTokens : request.maxTokens;
-    const bool isRestricted = m_hasFullAuthority != nullptr && !m_hasFullAuthority(request.program);
-    const std::int64_t left = tokensLeft(request, changed, isRestricted);
+    const bool restricted = isRestricted(request, changed);
+    const std::int64_t left = tokensLeft(request, changed, restricted);
     const std::int64_t tokens = tokensToReserve(request, left);
     if (tokens <= left && reserveTurn(changed, turn, tokens, request.budget)) {
         // What replaces a reservation of a restricted VM may cover turns that this one allowed.
-        if (isRestricted || record.restricted.contains(request.replaces)) {
+        noteTurn(changed, request.mayBorrow);
+        if (restricted || record.restricted.contains(request.replaces)) {
             changed.restricted.insert(turn);
         }
         record = std::move(changed);
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -56,6 +56,15 @@
     bool mayBorrow = false;
 };
 
+/** How much of a program's budget a VM may reserve. */
+enum class BudgetAuthority {
+    /** The part of all VMs that don't know what the lender has lent (splitBudget()). */
+    Restricted,
+    /** The whole budget if all turns of the program are stored, since these are never lent for. */
+    WholeOfStoredTurns,
+    Whole,
+};
+
 /** The tokens that one turn generated. Replaces its reservation. */
 struct TurnSettlement
 {
@@ -91,8 +100,8 @@
                  std::function<void(ReservationResult)> done);
     /** Replaces a reservation by the tokens used; retried until it is in the store. */
     void settle(const TurnSettlement &settlement);
-    /** Decides whether this VM may reserve the whole budget of a program; by default it may. */
-    void setAuthority(std::function<bool(const ProgramId &)> hasFullAuthority);
+    /** Decides how much of a program's budget this VM may reserve; by default the whole. */
+    void setAuthority(std::function<BudgetAuthority(const ProgramId &)> authorityOver);
     /** Adds to the line on a withheld reservation who lends for the program, and since when. */
     void setTenureLog(std::function<void(const ProgramId &, LogLine &)> describeTenure);
     /**
@@ -100,6 +109,8 @@
      * last known row, and by settlements that are not in it yet.
      */
     std::int64_t committedBesides(const ProgramId &program, const AttemptId &besides) const;
+    /** True if the last known row shows that all turns of the program are stored. */
+    bool hasOnlyStoredTurns(const ProgramId &program) const;
     /** The programs that this VM has reserved or settled tokens for since @p time. */
     std::vector<ProgramId> programsUsedSince(BootTime time) const;
     /** When the last known row was asked for or written; none if the row is not known. */
@@ -164,6 +175,8 @@
         NeedsRead, ///< Read the row first, since the known record may be outdated.
     };
 
+    /** True if this VM may reserve only the part of VMs that don't lend. */
+    bool isRestricted(const ReservationRequest &request, const ProgramRecord &record) const;
     ChangeAction apply(const Change &change, const Program &program, ProgramRecord &record) const;
     /** Tokens of settlements that are neither in the row nor covered by a reservation there. */
     static std::int64_t unreservedSettlements(const Program &program);
@@ -193,7 +206,7 @@
     std::map<ProgramId, Program> m_programs;
     std::size_t m_pending = 0;
     std::size_t m_pendingReservations = 0;
-    std::function<bool(const ProgramId &)> m_hasFullAuthority;
+    std::function<BudgetAuthority(const ProgramId &)> m_authorityOver;
     std::function<void(const ProgramId &, LogLine &)> m_describeTenure;
     std::optional<BootTime> m_lastForgottenUse;
 };
--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -21,6 +21,21 @@
 constexpr const char *LoanPrefix = "loan ";
 constexpr const char *OwnReservationSuffix = "/own";
 
+constexpr const char *TurnsField = "turns";
+/** Rows of earlier versions lack the field, so that their programs may have had any turns. */
+constexpr const char *TurnNames[] = {"none", "stored", "any"};
+
+ProgramTurns programTurnsOf(const json::object &row)
+{
+    const std::string text = stringAt(row, TurnsField);
+    for (const ProgramTurns turns : {ProgramTurns::None, ProgramTurns::StoredOnly}) {
+        if (text == TurnNames[static_cast<std::size_t>(turns)]) {
+            return turns;
+        }
+    }
+    return ProgramTurns::Any;
+}
+
 } // namespace
 
 bool isSettled(const ProgramRecord &record, const AttemptId &turn)
@@ -41,6 +56,9 @@
 void settleTurn(ProgramRecord &record, const AttemptId &turn, std::int64_t tokens)
 {
     const bool isLoan = absl::StartsWith(turn.value(), LoanPrefix);
+    if (isLoan) {
+        noteTurn(record, true);
+    }
     if (record.reserved.erase(turn) > 0 || isLoan) {
         record.spent += tokens;
         record.restrictedSpent += record.restricted.erase(turn) > 0 ? tokens : 0;
@@ -51,6 +69,15 @@
     }
 }
 
+void noteTurn(ProgramRecord &record, bool mayBorrow)
+{
+    if (mayBorrow) {
+        record.turns = ProgramTurns::Any;
+    } else if (record.turns == ProgramTurns::None) {
+        record.turns = ProgramTurns::StoredOnly;
+    }
+}
+
 std::int64_t committedTokens(const ProgramRecord &record)
 {
     std::int64_t total = record.spent;
@@ -105,7 +132,10 @@
     for (const AttemptId &turn : record.settled) {
         settled.push_back(json::value(turn.value()));
     }
-    json::object row{{"spent", record.spent}, {"reserved", reserved}, {"settled", settled}};
+    json::object row{{"spent", record.spent},
+                     {"reserved", reserved},
+                     {"settled", settled},
+                     {TurnsField, TurnNames[static_cast<std::size_t>(record.turns)]}};
     if (!record.restricted.empty() || record.restrictedSpent > 0) {
         json::array restricted;
         for (const AttemptId &turn : record.restricted) {
@@ -132,6 +162,7 @@
     }
     ProgramRecord record;
     record.spent = spent->get_int64();
+    record.turns = programTurnsOf(object);
     for (const auto &item : *reserved) {
         if (!item.value().is_int64()) {
             return std::nullopt;
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -12,9 +12,19 @@
 
 namespace boragepath {
 
+/** Which turns a program has reserved tokens for. */
+enum class ProgramTurns {
+    None,
+    /** Turns that the store keeps, which don't end without it and are never lent for. */
+    StoredOnly,
+    /** Also turns that a VM may have lent for, or of which that is not known. */
+    Any,
+};
+
 /** How much of its token budget a program has used and reserved. Stored as one row. */
 struct ProgramRecord
 {
+    ProgramTurns turns = ProgramTurns::None;
     /** Tokens of turns that have ended. */
     std::int64_t spent = 0;
     /** Reserved tokens of each running turn or grant: the most that it may still use. */
@@ -40,6 +50,8 @@
  * tokens of a loan, which has no reservation.
  */
 void settleTurn(ProgramRecord &record, const AttemptId &turn, std::int64_t tokens);
+/** Notes that tokens are reserved for a turn of one kind. */
+void noteTurn(ProgramRecord &record, bool mayBorrow);
 /** True if the turn is among the most recently settled ones. */
 bool isSettled(const ProgramRecord &record, const AttemptId &turn);
 /** Sum of spent and reserved tokens. */
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -198,7 +198,7 @@
                          })
 {
     m_ledger.setAuthority(
-        [this](const ProgramId &program) { return m_lenders.hasFullAuthority(program); });
+        [this](const ProgramId &program) { return m_lenders.authorityOver(program); });
     m_ledger.setTenureLog([this](const ProgramId &program, LogLine &line) {
         m_lenders.describeTenure(program, line);
     });
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -624,6 +624,7 @@
     // Of three VMs each lends only while both others answer, of four while one of them is down.
     LendingFleet fleet(3 + random() % 2, seed);
     std::string program = "program-0";
+    bool isStored = random() % 2 == 0;
     SteadyTime begunAt = fleet.clock.now();
     for (int step = 0; step < 60; ++step) {
         const std::size_t vm = random() % fleet.size();
@@ -666,7 +667,7 @@
             break;
         }
         default:
-            if (fleet.reserve(vm, program, Milliseconds(random() % 1'500))
+            if (fleet.reserve(vm, program, Milliseconds(random() % 1'500), isStored)
                     == ReservationResult::Granted
                 && random() % 4 != 0) {
                 fleet.settle(vm, program, MaxTurnTokens);
@@ -676,6 +677,7 @@
         RC_ASSERT(fleet.grantedTokens[program] <= Budget + MaxTurnTokens);
         if (fleet.clock.now() > begunAt + Seconds(55)) {
             program = absl::StrCat("program-", step + 1);
+            isStored = random() % 2 == 0;
             begunAt = fleet.clock.now();
         }
     }
--- a/tests/control/ledger_relay_test.cpp
+++ b/tests/control/ledger_relay_test.cpp
@@ -36,8 +36,9 @@
     void reserve(std::size_t vm, const std::string &turn, std::int64_t budget,
                  std::int64_t maxTokens, std::function<void(ReservationResult)> done)
     {
-        vms[vm]->relay.reserve({ProgramId("program"), AttemptId(turn), budget, maxTokens}, "line",
-                               clock.now() + RequestTimeout,
+        ReservationRequest request{ProgramId("program"), AttemptId(turn), budget, maxTokens};
+        request.mayBorrow = !storesTurns;
+        vms[vm]->relay.reserve(request, "line", clock.now() + RequestTimeout,
                                [this, done = std::move(done)](ReservationResult reservation,
                                                               const ReplicaId &promptReplica) {
                                    lastPromptReplica = promptReplica;
@@ -149,6 +150,8 @@
     ManualTimers timers;
     MemoryRowStore store;
     std::vector<std::unique_ptr<Vm>> vms;
+    /** The program's turns are stored, so that they don't end without the store. */
+    bool storesTurns = false;
 };
 
 } // namespace
@@ -333,6 +336,7 @@
     constexpr std::int64_t MaxTokensPerTurn = 300;
     std::mt19937_64 random(seed);
     RelayFleet fleet(4, seed);
+    fleet.storesTurns = seed % 2 == 0;
     fleet.lossRate = 0.3;
     fleet.store.faults() = {0.1, 0.1, 0.1, false};
     std::int64_t usedTokens = 0;
@@ -367,6 +371,7 @@
     constexpr std::int64_t MaxTokensPerTurn = 300;
     std::mt19937_64 random(seed);
     RelayFleet fleet(3, seed);
+    fleet.storesTurns = seed % 2 == 0;
     fleet.lossRate = 0.1;
     fleet.store.faults() = {0.05, 0.1, 0.1, false};
     std::int64_t usedTokens = 0;
--- a/tests/support/lending_fleet.h
+++ b/tests/support/lending_fleet.h
@@ -123,7 +123,7 @@
         , grants(clock, timers, ledger, health, incarnationName(self))
     {
         ledger.setAuthority(
-            [this](const ProgramId &program) { return lenders.hasFullAuthority(program); });
+            [this](const ProgramId &program) { return lenders.authorityOver(program); });
         ledger.setTenureLog([this](const ProgramId &program, LogLine &line) {
             lenders.describeTenure(program, line);
         });
@@ -172,14 +172,24 @@
         return static_cast<std::size_t>(found - m_vms.begin());
     }
 
+    /** The live lender of a program, whatever it knows of the lenders before it. */
+    std::size_t currentLenderOf(const std::string &program) const
+    {
+        const auto found = std::find_if(m_vms.begin(), m_vms.end(), [&](const auto &vm) {
+            return vm->lenders.authorityOver(ProgramId(program)) != BudgetAuthority::Restricted;
+        });
+        return static_cast<std::size_t>(found - m_vms.begin());
+    }
+
     /** The result of a reservation after @p time; none if there is none yet. */
     std::optional<ReservationResult> reserve(std::size_t vm, const std::string &program,
-                                             Duration time = Milliseconds(200))
+                                             Duration time = Milliseconds(200),
+                                             bool isStored = false)
     {
         const auto result = std::make_shared<std::optional<ReservationResult>>();
         lastTurn = AttemptId(absl::StrCat("turn-", m_turns++));
         ReservationRequest request{ProgramId(program), lastTurn, Budget, MaxTurnTokens};
-        request.mayBorrow = true;
+        request.mayBorrow = !isStored;
         m_vms[vm]->grants.reserve(request, clock.now() + Seconds(1),
                                   [this, result, program](ReservationResult answer) {
                                       *result = answer;
@@ -190,6 +200,13 @@
         return *result;
     }
 
+    /** The same for a turn that the store keeps. */
+    std::optional<ReservationResult> reserveStored(std::size_t vm, const std::string &program,
+                                                   Duration time = Milliseconds(200))
+    {
+        return reserve(vm, program, time, true);
+    }
+
     void settle(std::size_t vm, const std::string &program, std::int64_t tokens)
     {
         m_vms[vm]->grants.settle({ProgramId(program), lastTurn, tokens});
