A grant for stored turns holds little for later ones

The grant of a VM that is lost counts as used.

Now a grant for stored turns holds at most an eighth of what is left beyond the turns that need it. These turns need the store at their end anyway. Turns that may borrow keep their grants, which carry them through outages.

--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -37,16 +37,25 @@
     return std::min(left, split.restricted - restrictedTokens(record));
 }
 
+/** Part of the remaining budget that a grant for stored turns may hold for later ones. */
+constexpr std::int64_t StoredTurnsGrantDivisor = 8;
+
 /**
  * Tokens to reserve for a request. A grant takes at most half of the remaining budget, unless its
- * minimum is more.
+ * minimum is more. One for stored turns takes less: what it holds for later ones is withheld from
+ * the program if the VM is lost, and those need the store at their end anyway.
  */
 std::int64_t tokensToReserve(const ReservationRequest &request, std::int64_t left)
 {
     if (request.minTokens == 0) {
         return request.maxTokens;
     }
-    return std::max(request.minTokens, std::min(request.maxTokens, left / 2));
+    if (request.mayBorrow) {
+        return std::max(request.minTokens, std::min(request.maxTokens, left / 2));
+    }
+    const std::int64_t forLater =
+        std::max<std::int64_t>(0, left - request.minTokens) / StoredTurnsGrantDivisor;
+    return std::min(request.minTokens + forLater, request.maxTokens);
 }
 
 /** Tokens of a settlement that the row has no reservation for. */
--- a/tests/control/stored_turn_budgets_test.cpp
+++ b/tests/control/stored_turn_budgets_test.cpp
@@ -32,6 +32,26 @@
     }
 }
 
+// The grant of a killed VM counts as used. It covered four turns or half of what was left, so that
+// programs that need most of their budgets were refused all turns after one kill.
+TEST(StoredTurnBudgets, AVmThatIsLostTakesLittleMoreThanItsStoredTurnsUnderWay)
+{
+    LendingFleet fleet(3);
+    const std::size_t lender = fleet.lenderOf("p");
+    ASSERT_EQ(fleet.reserveStored(lender, "p"), ReservationResult::Granted);
+    fleet.settle(lender, "p", 100);
+    ASSERT_EQ(fleet.reserveStored(lender, "p"), ReservationResult::Granted);
+    fleet.crash(lender);
+    fleet.timers.run(FeedTime);
+    EXPECT_LE(committedTokens(fleet.record("p")),
+              100 + MaxTurnTokens + (Budget - MaxTurnTokens) / 8);
+    const std::size_t next = fleet.lenderOf("p");
+    for (const std::int64_t used : {400, 100}) {
+        EXPECT_EQ(fleet.reserveStored(next, "p"), ReservationResult::Granted);
+        fleet.settle(next, "p", used);
+    }
+}
+
 // A lender that is lost for good is replaced after some ten seconds. Until then the stored turns of
 // its programs got 503 once half of their budget was used.
 TEST(StoredTurnBudgets, StoredTurnsHaveWholeBudgetsWhileTheirLenderCanNotBeHeard)
