A head whose status HTTP does not know is no answer

The product's own interface recorded such answers, and the store's counted as complete.

Cause: the parser takes any three digits for a status. Now readResponseHead(), which reads all answers, takes 1xx to 5xx alone; else the call may have run, goes on at another replica where it may, and gets 502.

AHeadWithAStatusThatHttpDoesNotKnowIsNoAnswer (platform and product interface) failed before.

--- a/net/response_head.h
+++ b/net/response_head.h
@@ -16,6 +16,11 @@
 /** Heads with a status of 1xx before the answer's own. */
 inline constexpr int MaxInterimHeads = 8;
 
+/** Classes of statuses that HTTP knows, by their first digit (RFC 9110, section 15). */
+inline constexpr unsigned InterimStatusClass = 1;
+inline constexpr unsigned LastStatusClass = 5;
+inline constexpr unsigned StatusesPerClass = 100;
+
 using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
 /** What the parser of a response accepts, in bytes. */
@@ -28,7 +33,8 @@
 /**
  * Reads the head of a final response into @p parser, after any interim heads (1xx).
  *
- * @return the error, bad_status if there are more than MaxInterimHeads.
+ * @return the error; bad_status if there are more than MaxInterimHeads, or if the status is none of
+ *     HTTP's, so that the head is no answer.
  */
 template <typename Stream>
 boost::asio::awaitable<boost::beast::error_code>
@@ -44,8 +50,14 @@
         co_await http::async_read_header(
             stream, buffer, *parser,
             boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        const bool isInterim = !error && parser->get().result_int() / 100 == 1;
-        if (!isInterim) {
+        if (error) {
+            co_return error;
+        }
+        const unsigned statusClass = parser->get().result_int() / StatusesPerClass;
+        if (statusClass < InterimStatusClass || statusClass > LastStatusClass) {
+            co_return http::error::bad_status;
+        }
+        if (statusClass != InterimStatusClass) {
             co_return error;
         }
     }
--- a/tests/backends/broken_answer_test.cpp
+++ b/tests/backends/broken_answer_test.cpp
@@ -139,6 +139,23 @@
     EXPECT_EQ(stream.outcome.answer, "word");
 }
 
+// Such a head was an answer: of a service's call, which was recorded with it, and of the store.
+TEST(BackendBrokenAnswer, AHeadWithAStatusThatHttpDoesNotKnowIsNoAnswer)
+{
+    for (const char *status : {"000", "001", "099", "600", "999"}) {
+        SCOPED_TRACE(status);
+        const std::string bytes =
+            "HTTP/1.1 " + std::string(status) + " x\r\nContent-Length: 2\r\n\r\n{}";
+        for (const bool isService : {false, true}) {
+            const CallResult result = runCall(bytes, isService);
+            EXPECT_FALSE(result.outcome.complete);
+            EXPECT_TRUE(result.outcome.sent);
+            EXPECT_EQ(result.outcome.status, 0U);
+        }
+        EXPECT_FALSE(callStore({bytes}, false).back().complete);
+    }
+}
+
 TEST(BackendBrokenAnswer, AnAnswerThatIsNoStreamIsNotComplete)
 {
     const std::string body = R"({"error":{"message":"wrong"}})";
--- a/tests/platform/broken_head_test.cpp
+++ b/tests/platform/broken_head_test.cpp
@@ -64,6 +64,9 @@
     return path == "/tool/x" || path == "/turn/x";
 }
 
+/** Statuses that HTTP doesn't know. */
+const char *const NoStatuses[] = {"000", "001", "099", "600", "999"};
+
 } // namespace
 
 class BrokenHeadTest : public PlatformSession
@@ -165,6 +168,33 @@
     });
 }
 
+// Callers got "HTTP/1.1 0 <unknown-status>" and the body of a replica in trouble as an answer.
+TEST_F(BrokenHeadTest, AHeadWithAStatusThatHttpDoesNotKnowIsNoAnswer)
+{
+    addReplicas(3);
+    for (const char *status : NoStatuses) {
+        for (const char *fields :
+             {"Content-Length: 5\r\n", "Not-Executed: 1\r\nContent-Length: 5\r\n",
+              "Content-Type: text/event-stream\r\nContent-Length: 5\r\n"}) {
+            const std::string bytes =
+                absl::StrCat("HTTP/1.1 ", status, " x\r\nAttempt-Id: ID\r\nReplica-Seal: seal\r\n",
+                             fields, "\r\nwrong");
+            m_answer = [bytes](const std::string &head) {
+                return ReplicaScript{withId(bytes, head)};
+            };
+            for (const char *path : {"/tool/x", "/look/x", "/read/x", "/turn/x", "/talk/x"}) {
+                SCOPED_TRACE(absl::StrCat(status, ", ", path));
+                m_requests = 0;
+                renewReplicas();
+                const std::string answer = call(path);
+                EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 502"));
+                EXPECT_THAT(answer, testing::Not(testing::HasSubstr("wrong")));
+                EXPECT_EQ(m_requests, mayRunOnce(path) ? 1 : 2);
+            }
+        }
+    }
+}
+
 TEST_F(BrokenHeadTest, WholeAnswersAfterInterimHeadsAndOfHttp10AreDelivered)
 {
     addReplicas(1);
