Tests: more answers without end, with memory watched

Fields of a head, trailers, interim heads, bytes that are no answer, and the body of an answer with an unknown status, 30 at once, on both interfaces. All stay below the limits on resident memory that the other cases have; no fault was found.

--- a/tests/backends/endless_answer_test.cpp
+++ b/tests/backends/endless_answer_test.cpp
@@ -47,6 +47,11 @@
     {"the extension of a chunk", false, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
      Block},
     {"fields", false, "HTTP/1.1 200 OK\r\n", "Field: x\r\n"},
+    {"a trailer", true, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+     "Field: x\r\n"},
+    {"interim heads", true, "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    {"bytes that are no answer", false, "", Block},
+    {"the body of an answer with an unknown status", true, "HTTP/1.1 600 x\r\n\r\n", Block},
 };
 
 } // namespace
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -169,6 +169,20 @@
              return ReplicaScript{.answer = sealedResponse(head, "", ""),
                                   .endless = std::string(16'000, 'x')};
          }},
+        {"fields", "/tool/x",
+         [](const std::string &, const std::string &) {
+             return ReplicaScript{.answer = "HTTP/1.1 200 OK\r\n",
+                                  .endless = repeated("Field: x\r\n", 1'000)};
+         }},
+        {"trailers", "/turn/x",
+         [](const std::string &head, const std::string &) {
+             return ReplicaScript{.answer = streamHead(head) + chunk(event(1)) + "0\r\n",
+                                  .endless = repeated("Field: x\r\n", 1'000)};
+         }},
+        {"no answer", "/look/x",
+         [](const std::string &, const std::string &) {
+             return ReplicaScript{.answer = "", .endless = std::string(16'000, 'x')};
+         }},
     };
     constexpr int CallsAtOnce = 30;
     configure();
