--- a/backends/call_forwarder.cpp
+++ b/backends/call_forwarder.cpp
@@ -559,7 +559,13 @@
             if (place == EventPlace::Repeated) {
                 continue;
             }
-            continues = continues && isComment(*event);
+            if (isComment(*event)) {
+                if (!co_await sendEvent(progress, head, event->text)) {
+                    co_return AttemptResult::CallerGone;
+                }
+                continue;
+            }
+            continues = false;
             if (progress.hasAllTokens()) {
                 progress.observation.failureReason = "more tokens than the turn may have";
                 co_return AttemptResult::Incomplete;
--- a/backends/stream_position.cpp
+++ b/backends/stream_position.cpp
@@ -13,7 +13,7 @@
 
 bool isComment(const StreamEvent &event)
 {
-    return !event.id.has_value() && event.data.empty();
+    return !event.id.has_value() && !event.hasData;
 }
 
 EventPlace placeOf(const StreamEvent &event, const StreamPosition &position, bool continues)
--- a/backends/stream_position.h
+++ b/backends/stream_position.h
@@ -32,7 +32,9 @@
 /** Notes that the caller has got @p event. */
 void advance(StreamPosition &position, const StreamEvent &event);
 
-/** True if the event says nothing about the position: it is a comment, and keeps a connection open.
+/**
+ * True for a block of lines without data and id, which is no event by the format: a comment, which
+ * keeps a connection open. It is passed on, and is no part of what the turn says.
  */
 bool isComment(const StreamEvent &event);
 
--- a/net/event_stream_parser.cpp
+++ b/net/event_stream_parser.cpp
@@ -30,12 +30,12 @@
     return value;
 }
 
-void parseLine(std::string_view line, StreamEvent &event, bool &hasData)
+void parseLine(std::string_view line, StreamEvent &event)
 {
     if (const auto data = fieldValue(line, "data")) {
-        event.data += hasData ? "\n" : "";
+        event.data += event.hasData ? "\n" : "";
         event.data += *data;
-        hasData = true;
+        event.hasData = true;
     } else if (const auto id = fieldValue(line, "id")) {
         std::int64_t number = 0;
         if (absl::SimpleAtoi(std::string(*id), &number)) {
@@ -50,7 +50,6 @@
 {
     const std::string_view pending(m_pending);
     StreamEvent event;
-    bool hasData = false;
     std::size_t position = m_start;
     for (;;) {
         const std::size_t end = pending.find('\n', position);
@@ -70,7 +69,7 @@
         }
         event.hasStatusLine =
             event.hasStatusLine || line.substr(0, HttpVersion.size()) == HttpVersion;
-        parseLine(line, event, hasData);
+        parseLine(line, event);
     }
 }
 
--- a/net/event_stream_parser.h
+++ b/net/event_stream_parser.h
@@ -15,6 +15,8 @@
     std::string text;
     /** The data lines of the event, joined by line feeds. */
     std::string data;
+    /** It has a data line, if only an empty one. */
+    bool hasData = false;
     /** The id of the event, if it is an integer. */
     std::optional<std::int64_t> id;
     /** One of its lines is the status line of a response: its sender has begun another answer. */
--- a/tests/platform/resumed_turn_test.cpp
+++ b/tests/platform/resumed_turn_test.cpp
@@ -76,6 +76,34 @@
     EXPECT_EQ((isLastAtFirst ? first : second).bodies.back(), "input\nd1\nd2\nd3\nd4\nmore\n");
 }
 
+// The next turn's body had a line feed too many for each comment that kept the connection open, and
+// comments used tokens of the program's budget.
+TEST_F(ResumedTurnTest, CommentsInAStreamAreNoPartOfTheConversation)
+{
+    configure();
+    const std::string comment = chunk(": still at work\n\n");
+    ScriptedReplica &replica = addReplica([&](const std::string &head, const std::string &) {
+        return ReplicaScript{streamHead(head) + comment + eventsFrom(1, 1) + comment + comment
+                             + chunk("id: 2\ndata:\n\n") + comment + eventsFrom(3, 3) + comment
+                             + "0\r\n\r\n"};
+    });
+    for (const char *path : {"/turn/x", "/talk/x"}) {
+        SCOPED_TRACE(path);
+        const std::string first = std::string("first") + path[2];
+        const std::string budget = "Token-Budget: 60\r\n";
+        const std::string answer =
+            exchange(callRequest(path, first, "input\n",
+                                 "Program-Id: " + first + "\r\nToken-Usage: 10,60\r\n" + budget),
+                     "\r\n0\r\n");
+        EXPECT_THAT(answer, testing::HasSubstr("data: d3"));
+        EXPECT_THAT(answer, testing::HasSubstr(": still at work"));
+        exchange(callRequest(path, first + "-next", "more\n",
+                             turnFields("Previous-Turn: " + first + "\r\n")),
+                 "\r\n0\r\n");
+        EXPECT_EQ(replica.bodies.back(), "input\nd1\n\nd3\nmore\n");
+    }
+}
+
 // Recording what is known would lose the rest; answering 404 later would lose the conversation.
 TEST_F(ResumedTurnTest, AStreamWhoseBeginningNobodyKnowsIsRefusedAsNotRun)
 {
