--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -108,13 +108,24 @@
     EXPECT_FALSE(entry->draining);
 }
 
+// Another writer's entries without a version made two software versions count as the same one, so
+// that streams went on at the other.
 TEST(ReplicaCodec, RejectsMissingOrMistypedFields)
 {
     const std::vector<std::pair<std::string, std::string>> changes = {
-        {R"("addr":"10.0.0.9:8080",)", ""},  {R"("10.0.0.9:8080")", "17"},
-        {R"("ready")", R"("resting")"},      {R"("slots":24)", R"("slots":"24")"},
-        {R"("seq":4)", R"("seq":"x")"},      {R"("born":1700000000000)", R"("born":1.5)"},
-        {R"("zone":"z")", R"("zone":null)"}, {R"({"service)", R"(["service)"},
+        {R"("addr":"10.0.0.9:8080",)", ""},
+        {R"("10.0.0.9:8080")", "17"},
+        {R"("ready")", R"("resting")"},
+        {R"("slots":24)", R"("slots":"24")"},
+        {R"("seq":4)", R"("seq":"x")"},
+        {R"("born":1700000000000)", R"("born":1.5)"},
+        {R"("zone":"z")", R"("zone":null)"},
+        {R"({"service)", R"(["service)"},
+        {R"("version":"v1",)", ""},
+        {R"("version":"v1")", R"("version":1)"},
+        {R"("version":"v1")", R"("version":"")"},
+        {R"("coldLeftMs":0,)", ""},
+        {R"("coldLeftMs":0)", R"("coldLeftMs":"0")"},
     };
     for (const auto &[from, to] : changes) {
         std::string text = GoodReplica;
--- a/tests/platform/registry_reader_test.cpp
+++ b/tests/platform/registry_reader_test.cpp
@@ -20,7 +20,8 @@
 
 std::string registration(const std::string &state, int sequence)
 {
-    return absl::StrCat(R"({"service":"s","addr":"10.0.0.9:80","zone":"z","slots":4,"state":")",
+    return absl::StrCat(R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1",)"
+                        R"("slots":4,"coldLeftMs":0,"state":")",
                         state, R"(","seq":)", sequence, "}");
 }
 
@@ -268,8 +269,9 @@
     const auto entry = [](const std::string &address, const std::string &slots,
                           const std::string &sequence) {
         return absl::StrCat(R"({"service":"s","addr":")", address,
-                            R"(","zone":"z","state":"ready","slots":)", slots, R"(,"seq":)",
-                            sequence, "}");
+                            R"(","zone":"z","version":"v1","coldLeftMs":0,"state":"ready",)"
+                            R"("slots":)",
+                            slots, R"(,"seq":)", sequence, "}");
     };
     const std::string odd[] = {
         std::string(Depth, '[') + std::string(Depth, ']'),
