--- a/core/request_fingerprint.cpp
+++ b/core/request_fingerprint.cpp
@@ -76,11 +76,19 @@
     EVP_MAC_init(context, m_key.data(), m_key.size(), nullptr);
     // None of the fields before the body can hold this separator.
     const unsigned char separator = 0;
-    for (const std::string_view field : {content.method, content.host, content.target}) {
+    const auto add = [&](std::string_view field) {
         EVP_MAC_update(context, reinterpret_cast<const unsigned char *>(field.data()),
                        field.size());
         EVP_MAC_update(context, &separator, sizeof separator);
+    };
+    if (!content.previousTurn.empty()) {
+        // No method is empty, so that no request without a previous turn begins like this.
+        add("");
+        add(content.previousTurn);
     }
+    add(content.method);
+    add(content.host);
+    add(content.target);
     EVP_MAC_update(context, reinterpret_cast<const unsigned char *>(content.body.data()),
                    content.body.size());
     RequestFingerprint result;
--- a/core/request_fingerprint.h
+++ b/core/request_fingerprint.h
@@ -35,7 +35,7 @@
  */
 struct RequestIdentity
 {
-    /** Of method, host, target and body. */
+    /** Of method, host, target, previous turn and body. */
     RequestFingerprint request;
     /** Of method, host and target. */
     RequestFingerprint target;
@@ -53,6 +53,8 @@
     std::string_view target;
     /** As the caller sent it, without what was said in the conversation before. */
     std::string_view body;
+    /** The turn whose conversation the replica gets before the body; empty if there is none. */
+    std::string_view previousTurn = {};
 };
 
 /** Computes fingerprints with SipHash; to be used by one thread. */
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -87,4 +87,29 @@
     }
 }
 
+// Answers to other programs' turns with the same words cleared the evidence against a turn under
+// which replica after replica ended.
+TEST_F(CrashingRequestTest,
+       ATurnThatEndsReplicasIsToldFromTurnsOfOtherConversationsWithTheSameWords)
+{
+    addReplicas([](const std::string &head, const std::string &body) {
+        return body == "deadly\nd1\nyes\n" ? ReplicaScript{"", false, true}
+                                           : beginStreamAndEndOnCrashingBody(head, body);
+    });
+    exchange(callRequest("/turn/x", "deadly-first", "deadly\n"), "\r\n0\r\n");
+    for (int attempt = 0; attempt < 8; ++attempt) {
+        const std::string other = absl::StrCat("other-", attempt);
+        exchange(callRequest("/turn/x", other, "hello\n"), "\r\n0\r\n");
+        const std::string answer =
+            exchange(callRequest("/turn/x", other + "-next", "yes\n",
+                                 absl::StrCat("Previous-Turn: ", other, "\r\n")),
+                     "\r\n\r\n");
+        EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 200"));
+        exchange(callRequest("/turn/x", absl::StrCat("deadly-", attempt), "yes\n",
+                             "Previous-Turn: deadly-first\r\n"),
+                 "\r\n\r\n");
+    }
+    EXPECT_EQ(endedReplicas(), MaxEndedReplicas);
+}
+
 } // namespace boragepath::platform
