--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -246,6 +246,16 @@
     }
 }
 
+std::string Store::valueOf(const std::string &table, const std::string &key) const
+{
+    for (const auto &[name, row] : m_rows) {
+        if (std::get<0>(name) == table && std::get<2>(name) == key) {
+            return row.value;
+        }
+    }
+    return "";
+}
+
 void Store::put(const std::string &table, const std::string &key, const std::string &value)
 {
     m_version += 1;
--- a/review/harness-3/harness.h
+++ b/review/harness-3/harness.h
@@ -115,6 +115,8 @@
     /** A write of the operator or of a replica, which does not go over the wire here. */
     void put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
+    /** The value of the row with this key, in whatever part; empty if there is none. */
+    std::string valueOf(const std::string &table, const std::string &key) const;
     /** While silent, the store accepts calls and answers none. */
     void setSilent(bool silent) { m_silent = silent; }
     const Address &address() const { return m_listener.address(); }
