--- a/review/15/script.cpp
+++ b/review/15/script.cpp
@@ -243,7 +243,7 @@
     }
     co_await sleepFor(Calm);
     for (int index = 1; index <= Programs; ++index) {
-        test.programs.push_back({"p" + std::to_string(index)});
+        test.programs.emplace_back().id = "p" + std::to_string(index);
     }
     std::vector<Line> lines(Programs);
     std::vector<Line> helpers(static_cast<std::size_t>(Programs) * Helpers);
