--- a/review/15/script.cpp
+++ b/review/15/script.cpp
@@ -3,7 +3,6 @@
 #include "review/harness-3/harness.h"
 #include "review/harness-3/replica.h"
 
-#include <csignal>
 #include <cstdlib>
 #include <set>
 
@@ -314,7 +313,6 @@
 
 int main(int argc, char **argv)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context{1};
     Case test(context, argc > 1 ? argv[1] : "record.txt");
     return runCase(context, run(test));
--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -33,6 +33,23 @@
 constexpr const char *Base64Digits =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
+/** A script runs for less than two minutes. */
+constexpr unsigned MaxSeconds = 115;
+constexpr std::size_t MaxProcesses = 64;
+/** The daemons that run now; 0 for none. */
+std::array<volatile pid_t, MaxProcesses> startedProcesses{};
+
+/** Ends the daemons and this process, if it is interrupted or takes too long. */
+void endAll(int)
+{
+    for (const volatile pid_t &process : startedProcesses) {
+        if (process != 0) {
+            ::kill(process, SIGKILL);
+        }
+    }
+    _exit(ExitCouldNotRun);
+}
+
 std::map<std::string, std::string> queryOf(const std::string &target)
 {
     std::map<std::string, std::string> query;
@@ -521,6 +538,7 @@
         m_processes[index] = 0;
         throw std::runtime_error("cannot start the daemon");
     }
+    startedProcesses.at(index) = m_processes[index];
     m_record.line("vm " + std::to_string(index + 1) + " started");
 }
 
@@ -537,6 +555,7 @@
     }
     ::kill(m_processes[index], SIGKILL);
     waitpid(m_processes[index], nullptr, 0);
+    startedProcesses.at(index) = 0;
     m_processes[index] = 0;
     m_record.line("vm " + std::to_string(index + 1) + " killed");
 }
@@ -547,6 +566,7 @@
         return false;
     }
     if (waitpid(m_processes[index], nullptr, WNOHANG) == m_processes[index]) {
+        startedProcesses.at(index) = 0;
         m_processes[index] = 0;
         m_record.line("vm " + std::to_string(index + 1) + " ended by itself");
         return false;
@@ -609,6 +629,11 @@
 
 int runCase(asio::io_context &context, asio::awaitable<int> body)
 {
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int signalNumber : {SIGINT, SIGTERM, SIGALRM}) {
+        std::signal(signalNumber, endAll);
+    }
+    alarm(MaxSeconds);
     int result = ExitCouldNotRun;
     asio::co_spawn(context, std::move(body), [&](const std::exception_ptr &failure, int code) {
         if (failure == nullptr) {
