--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -503,7 +503,8 @@
         + "\nfaultTolerance.machines=1\nfaultTolerance.zones=0\nfaultTolerance.regions=0"
         + "\nbounds.seedLagS=3\nbounds.addrReuseS=2\nbounds.contactMs="
         + number(m_deployment.contactMs)
-        + "\nbounds.ackMs=4000\nbounds.catchupS=4.9\nbounds.drainMs=2000\nbounds.graceS=8"
+        + "\nbounds.ackMs=4000\nbounds.catchupS=4.9\nbounds.drainMs=" + number(m_deployment.drainMs)
+        + "\nbounds.graceS=8"
         + "\nbounds.lossSlackMs=200\nbounds.configApplyMs=2000\nbounds.rollbackSlackMs=250"
         + "\nbounds.maxStretchMs=5000\nbounds.recoveryS=12\nbounds.passMs=120"
         + "\nbounds.retryAfterS=0\nbounds.cutoffS=10\nbounds.settleMs=1000\nbounds.ttl_max_s=5"
--- a/review/harness-3/harness.h
+++ b/review/harness-3/harness.h
@@ -183,6 +183,7 @@
     std::string contracts = "base,drain,config,cost,recover,agent,stream,engine,platform";
     std::int64_t memoryMb = 140;
     int contactMs = 3'000;
+    int drainMs = 2'000;
 };
 
 /** The daemons of a deployment, one process each, started with the run line of the deploy file. */
--- a/review/harness-3/replica.cpp
+++ b/review/harness-3/replica.cpp
@@ -33,31 +33,48 @@
     m_listener.close();
 }
 
+void Replica::drain()
+{
+    m_isDraining = true;
+    writeEntry();
+}
+
+void Replica::leave()
+{
+    m_listener.close();
+    m_store.remove("servers", m_facts.id);
+}
+
 asio::awaitable<void> Replica::beat(int lifetime)
 {
     while (lifetime == m_lifetime && isRunning()) {
-        m_sequence += 1;
-        const json::object entry{{"service", m_facts.service},
-                                 {"addr", m_listener.address().text()},
-                                 {"zone", "a"},
-                                 {"version", m_facts.version},
-                                 {"slots", m_facts.slots},
-                                 {"state", "ready"},
-                                 {"coldLeftMs", 0},
-                                 {"seq", m_sequence},
-                                 {"born", m_born}};
-        if (m_reachesStore) {
-            m_store.put("servers", m_facts.id, json::serialize(entry));
-        }
+        writeEntry();
         co_await sleepFor(Heartbeat);
     }
 }
 
+void Replica::writeEntry()
+{
+    m_sequence += 1;
+    const json::object entry{{"service", m_facts.service},
+                             {"addr", m_listener.address().text()},
+                             {"zone", "a"},
+                             {"version", m_facts.version},
+                             {"slots", m_facts.slots},
+                             {"state", m_isDraining ? "draining" : "ready"},
+                             {"coldLeftMs", 0},
+                             {"seq", m_sequence},
+                             {"born", m_born}};
+    if (m_reachesStore) {
+        m_store.put("servers", m_facts.id, json::serialize(entry));
+    }
+}
+
 std::string Replica::head(unsigned status, const Request &request) const
 {
     return "HTTP/1.1 " + number(status) + " -\r\nAttempt-Id: " + field(request, "Attempt-Id")
         + "\r\nReplica-Seal: seal-of-" + m_facts.id + "\r\nReplica-Load: " + number(m_running)
-        + ",0," + number(m_facts.slots) + "\r\n";
+        + ",0," + number(m_facts.slots) + (m_isDraining ? "\r\nServer-Leaving: 1" : "") + "\r\n";
 }
 
 std::string Replica::answer(const Request &request, const std::string &body) const
--- a/review/harness-3/replica.h
+++ b/review/harness-3/replica.h
@@ -27,6 +27,10 @@
     void start();
     /** Ends as a crashed process does: all channels break off and nobody listens any more. */
     void crash();
+    /** Reports that it drains, at once; it goes on serving. */
+    void drain();
+    /** Ends after it has drained, and takes its entry out of the registry. */
+    void leave();
     bool isRunning() const { return m_listener.isOpen(); }
     /** While it does not, it says nothing of itself in the registry. */
     void setReachesStore(bool reaches) { m_reachesStore = reaches; }
@@ -41,6 +45,7 @@
 private:
     asio::awaitable<bool> handle(Socket socket, Request request);
     asio::awaitable<void> beat(int lifetime);
+    void writeEntry();
 
     asio::io_context &m_context;
     Store &m_store;
@@ -48,6 +53,7 @@
     Run m_run;
     Listener m_listener;
     bool m_reachesStore = true;
+    bool m_isDraining = false;
     int m_lifetime = 0;
     int m_running = 0;
     std::int64_t m_sequence = 0;
