--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -496,7 +496,8 @@
         + "\nzone=a\nregion=r\nzones.a=r\nlisten.front=" + at(ip, FrontPort)
         + "\nlisten.ready=" + at(ip, ReadyPort) + "\nlisten.control=" + at(ip, ControlPort)
         + "\nlisten.directory=" + at(ip, DirectoryPort) + "\ninternalPorts=7380,7395\nseeds="
-        + seeds + "\nbootstrap=true\nfaultCounted=false\nlimits.cpuShare=0.5\nlimits.cores=1"
+        + seeds + "\nbootstrap=" + std::string(m_hasStarted ? "false" : "true")
+        + "\nfaultCounted=false\nlimits.cpuShare=0.5\nlimits.cores=1"
         + "\nlimits.memoryMb=" + number(m_deployment.memoryMb)
         + "\nlimits.maxFds=8200\nlimits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=platform"
         + "\nentry=directory\nheartbeatMs=1200\ncontracts=" + m_deployment.contracts
@@ -554,6 +555,7 @@
     if (m_processes[index] == 0) {
         return;
     }
+    m_hasStarted = true;
     ::kill(m_processes[index], SIGKILL);
     waitpid(m_processes[index], nullptr, 0);
     startedProcesses.at(index) = 0;
--- a/review/harness-3/harness.h
+++ b/review/harness-3/harness.h
@@ -212,6 +212,8 @@
     Deployment m_deployment;
     Record &m_record;
     std::vector<pid_t> m_processes;
+    /** The whole system has started once. */
+    bool m_hasStarted = false;
 };
 
 /** A folder for temporary files, removed at the end. */
