--- a/review/15/script.cpp
+++ b/review/15/script.cpp
@@ -1,9 +1,8 @@
-// Case 15: the machine that holds a program's grant is killed, and the program can't go on.
+// Case 15: a request that crashes replicas, while other callers send the same path and body.
 
 #include "review/harness-3/harness.h"
 #include "review/harness-3/replica.h"
 
-#include <cstdlib>
 #include <set>
 
 namespace {
@@ -11,61 +10,30 @@
 using namespace review3;
 
 constexpr const char *Host = "desk.example";
-constexpr const char *Path = "/dialogue/transfer";
-constexpr const char *Configuration = R"({"version":1,"routes":[{"name":"r-dialogue",
-"host":"desk.example","prefix":"/dialogue/","kind":"streaming","timeoutMs":4000,
-"targetLatencyMs":250,"priority":0,"service":"desk-llm","maxAttempts":2,"retainContext":true,
-"keepS":60.0,"sticky":true,"resumable":false,"gapAimMs":300}],"services":[{"name":"desk-llm",
-"healthPath":"/healthz","maxConns":210,"protocol":"h1","tls":false,"engine":{"slots":24,
-"kvTokens":657246,"kvTokenBytes":163840,"linkMbps":1400000.0,"moves":true,"backups":true,
-"tokensPerEvent":20,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,
-"models":[{"name":"m"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
-"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-
-constexpr std::size_t Vms = 11;
+constexpr const char *Path = "/status/today";
+constexpr const char *Configuration = R"({"version":1,"routes":[{"name":"r-status",
+"host":"desk.example","prefix":"/status/","kind":"idempotent","timeoutMs":1000,
+"targetLatencyMs":120,"priority":0,"service":"desk-app","maxAttempts":2,"public":false,
+"sticky":false}],"services":[{"name":"desk-app","healthPath":"/healthz","maxConns":430,
+"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[
+{"name":"red","apiKeys":["key-of-red"],"priority":0,"ratePerS":100,"burst":100},
+{"name":"blue","apiKeys":["key-of-blue"],"priority":0,"ratePerS":100,"burst":100},
+{"name":"green","apiKeys":["key-of-green"],"priority":0,"ratePerS":100,"burst":100}]})";
+
+constexpr std::size_t Vms = 3;
 constexpr int Replicas = 6;
-constexpr int Slots = 24;
-/** Of a turn: 260 tokens, of at most 580. */
-constexpr int Events = 13;
-constexpr int TokensPerEvent = 20;
-constexpr int MaxTurnTokens = 580;
-constexpr int Budget = 4'640;
-constexpr Millis EventTime{15};
-constexpr Millis ThinkTime{20};
-constexpr Millis RetryPause{250};
-constexpr Millis Deadline{4'000};
-constexpr Millis Calm{8'000};
-/** Time of a slow tool, in which the killed machine is back and contactMs pass. */
-constexpr Millis ToolTime{6'000};
-constexpr Millis RestartDelay{1'000};
-constexpr int Programs = 12;
-constexpr int TurnsBeforeHelpers = 5;
-/** Helpers of a program that work at the same time, one turn each. */
-constexpr int Helpers = 4;
-/** From the beginning of their turns, which take some 200 ms, to the kill. */
-constexpr Millis KillDelay{120};
-constexpr int TurnsAfterTheKill = 5;
-constexpr int Tries = 6;
-constexpr int TriesOfTheRule = 5;
-
-struct Program
-{
-    std::string id;
-    /** Of all its lines of turns, in requester attempts that broke off too. */
-    int handed = 0;
-    int turns = 0;
-    std::string holder;
-    /** Tries of the turn that reached no replica, with the budget holding it. */
-    int failedTries = 0;
-    std::string lastStatus;
-};
-
-/** A line of turns: the program's own, or that of a helper. */
-struct Line
-{
-    std::string session;
-    std::string lastTurn;
-};
+constexpr Millis WorkTime{15};
+/** A crashed replica is back after this time. */
+constexpr Millis DownTime{2'500};
+constexpr Millis SoundPause{70};
+constexpr Millis RedPause{2'000};
+constexpr Millis Calm{4'000};
+constexpr Millis Duration{50'000};
+constexpr std::int64_t ContactMillis = 3'000;
+constexpr int CrashesBeforeTheRule = 3;
+/** Retries that may reach replicas by then. */
+constexpr std::size_t AllowedRetries = 3;
 
 struct Case
 {
@@ -80,135 +48,75 @@
     Record record;
     Store store;
     std::vector<std::unique_ptr<Replica>> replicas;
-    std::vector<Program> programs;
-    std::set<std::string> reached;
-    int firstTurns = 0;
-    int firstTurnsReached = 0;
-    int busy = 0;
+    int crashes = 0;
+    std::int64_t thirdCrashAt = 0;
+    /** Attempts of red that reached a replica after the third crash and contactMs. */
+    std::set<std::string> lateAttempts;
+    int soundAnswers = 0;
+    int soundAttempts = 0;
+    bool isOver = false;
     std::size_t nextVm = 0;
     int nextId = 1;
-    std::size_t killed = 0;
-    Steady::time_point deadline = Steady::now() + Millis(35'000);
 };
 
-asio::awaitable<bool> runAtReplica(Case &test, Replica &replica, Socket socket, Request request)
+asio::awaitable<void> restartLater(Case &test, Replica &replica)
 {
-    const std::string attempt = field(request, "Attempt-Id");
-    test.reached.insert(attempt);
-    test.record.line("run " + attempt + " at " + replica.facts().id);
-    const std::string head = replica.head(200, request)
-        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    bool isOpen = co_await writeAll(socket, head);
-    for (int id = 1; isOpen && id <= Events; ++id) {
-        co_await sleepFor(EventTime);
-        const std::string event =
-            "id: " + std::to_string(id) + "\ndata: word " + std::to_string(id) + "\n\n";
-        std::ostringstream chunk;
-        chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
-        const std::string bytes = chunk.str();
-        isOpen = co_await writeAll(socket, bytes);
-    }
-    const std::string end = "0\r\n\r\n";
-    co_return isOpen &&co_await writeAll(socket, end);
+    co_await sleepFor(DownTime);
+    replica.start();
+    test.record.line("replica " + replica.facts().id + " is back");
 }
 
-std::size_t countEvents(const std::string &body)
+asio::awaitable<bool> runAtReplica(Case &test, Replica &replica, Socket socket, Request request)
 {
-    std::size_t count = 0;
-    for (std::size_t at = body.find("\n\n"); at != std::string::npos;
-         at = body.find("\n\n", at + 2)) {
-        ++count;
+    const std::string tenant = field(request, "Tenant");
+    const std::string attempt = field(request, "Attempt-Id");
+    test.record.line("run " + attempt + " of " + tenant + " at " + replica.facts().id);
+    const bool isLate = test.crashes >= CrashesBeforeTheRule
+        && test.record.millis() > test.thirdCrashAt + ContactMillis;
+    if (tenant == "red" && isLate) {
+        test.lateAttempts.insert(attempt);
+    }
+    const int lifetime = replica.lifetime();
+    co_await sleepFor(WorkTime);
+    if (lifetime != replica.lifetime() || !replica.isRunning()) {
+        co_return false;
+    }
+    if (tenant == "red" && hasTrouble()) {
+        test.record.line("crash of " + replica.facts().id + " by " + attempt);
+        test.crashes += 1;
+        if (test.crashes == CrashesBeforeTheRule) {
+            test.thirdCrashAt = test.record.millis();
+        }
+        replica.crash();
+        asio::co_spawn(test.context, restartLater(test, replica), asio::detached);
+        co_return false;
     }
-    return count;
+    const std::string answer = replica.answer(request, "status of " + tenant);
+    co_return co_await writeAll(socket, answer);
 }
 
-/** Sends one try of a turn; true if it was answered whole. */
-asio::awaitable<bool> tryTurn(Case &test, Fleet &fleet, Program &program, Line &line)
+asio::awaitable<Answer> send(Case &test, Fleet &fleet, std::string tenant)
 {
-    const std::string host = Host;
-    const std::string id = program.id + "-" + std::to_string(test.nextId++);
-    std::size_t vm = test.nextVm++ % fleet.size();
-    vm = vm == test.killed ? test.nextVm++ % fleet.size() : vm;
-    const Address front = fleet.front(vm);
-    const auto left = std::chrono::duration_cast<Millis>(test.deadline - Steady::now());
+    const std::string id = tenant + "-" + std::to_string(test.nextId++);
+    const std::size_t vm = test.nextVm++ % fleet.size();
     Attempt attempt;
-    attempt.method = "POST";
     attempt.target = Path;
-    attempt.body = "input of " + id;
-    attempt.deadline = Deadline;
-    attempt.fields = {{"Program-Id", program.id},
-                      {"Session-Id", line.session},
-                      {"Program-Deadline-Ms", number(left.count())},
-                      {"Token-Budget", number(Budget)},
-                      {"Token-Usage", "840," + number(MaxTurnTokens)},
-                      {"Model", "m"},
-                      {"Prompt-Prefix", "5c1e07a2:300,e4402b7d:540"}};
-    if (!line.lastTurn.empty()) {
-        attempt.fields.push_back({"Previous-Turn", line.lastTurn});
-    }
+    attempt.fields = {{"Credential", "key-of-" + tenant}};
+    const Address front = fleet.front(vm);
+    const std::string host = Host;
     const Answer answer = co_await request(front, host, id, attempt);
-    program.handed += static_cast<int>(countEvents(answer.body)) * TokensPerEvent;
-    program.lastStatus = number(answer.status);
-    test.record.line("answer " + id + " by vm " + std::to_string(vm + 1) + " " + program.lastStatus
-                     + (answer.complete ? "" : ", broken off") + ", handed "
-                     + number(program.handed));
-    const bool isWhole = answer.status == 200 && answer.complete;
-    if (isWhole) {
-        line.lastTurn = id;
-        program.turns += 1;
-    }
-    const bool budgetHolds = program.handed + MaxTurnTokens <= Budget;
-    program.failedTries = test.reached.contains(id) || !budgetHolds ? 0 : program.failedTries + 1;
-    co_return isWhole;
+    test.record.line("answer " + id + " by vm " + std::to_string(vm + 1) + " "
+                     + std::to_string(answer.status));
+    co_return answer;
 }
 
-/** Goes on with a program until a turn has failed in all its tries. */
-asio::awaitable<void> goOn(Case &test, Fleet &fleet, Program &program, Line &line, int turns)
+asio::awaitable<void> sendSound(Case &test, Fleet &fleet, std::string tenant)
 {
-    test.busy += 1;
-    bool isServed = true;
-    for (int turn = 0; isServed && turn < turns; ++turn) {
-        isServed = false;
-        for (int attempt = 0; !isServed && attempt < Tries; ++attempt) {
-            isServed = co_await tryTurn(test, fleet, program, line);
-            if (!isServed) {
-                co_await sleepFor(RetryPause);
-            }
-        }
-        co_await sleepFor(ThinkTime);
-    }
-    test.busy -= 1;
-}
-
-asio::awaitable<void> waitForAll(Case &test)
-{
-    while (test.busy > 0) {
-        co_await sleepFor(Millis(5));
-    }
-}
-
-/** Name of the machine whose grant stands in the program's row; empty if none does. */
-std::string holderOf(const Case &test, const Program &program)
-{
-    const std::string row = test.store.valueOf("programs", program.id);
-    const std::string mark = "\"grant ";
-    const std::size_t start = row.find(mark);
-    return start == std::string::npos
-        ? ""
-        : row.substr(start + mark.size(), row.find('/', start) - start - mark.size());
-}
-
-asio::awaitable<void> sendFirstTurns(Case &test, Fleet &fleet)
-{
-    for (int number = 1; number <= 20; ++number) {
-        Program program;
-        Line line;
-        program.id = "first" + std::to_string(number);
-        line.session = program.id + "-line";
-        co_await tryTurn(test, fleet, program, line);
-        test.firstTurns += 1;
-        test.firstTurnsReached += program.failedTries == 0 ? 1 : 0;
-        co_await sleepFor(Millis(50));
+    while (!test.isOver) {
+        test.soundAttempts += 1;
+        const Answer answer = co_await send(test, fleet, tenant);
+        test.soundAnswers += answer.status == 200 ? 1 : 0;
+        co_await sleepFor(SoundPause);
     }
 }
 
@@ -218,17 +126,16 @@
     Deployment deployment;
     deployment.folder = folder.path();
     deployment.store = test.store.address();
+    deployment.contracts = "base,drain,config,cost,recover,tenants,quota,platform";
     for (std::size_t vm = 0; vm < Vms; ++vm) {
         deployment.ips.push_back(test.network + std::to_string(11 + vm));
     }
-    test.killed = Vms;
     test.store.put("op", "config", Configuration);
     for (int index = 1; index <= Replicas; ++index) {
         const Address address{test.network + std::to_string(100 + index), 8'080};
-        const ReplicaFacts facts{"i-" + std::to_string(index), "desk-llm", "v1", Slots};
         test.replicas.push_back(std::make_unique<Replica>(
-            test.context, test.store, facts, address,
-            [&test](Replica &replica, Socket socket, const Request &request) {
+            test.context, test.store, ReplicaFacts{"i-" + std::to_string(index), "desk-app"},
+            address, [&test](Replica &replica, Socket socket, const Request &request) {
                 return runAtReplica(test, replica, socket, request);
             }));
         test.replicas.back()->start();
@@ -237,76 +144,35 @@
     for (std::size_t vm = 0; vm < Vms; ++vm) {
         fleet.start(vm);
     }
-    if (!co_await fleet.waitUntilReady(Millis(15'000))) {
+    if (!co_await fleet.waitUntilReady(Millis(10'000))) {
         co_return ExitCouldNotRun;
     }
     co_await sleepFor(Calm);
-    for (int index = 1; index <= Programs; ++index) {
-        test.programs.emplace_back().id = "p" + std::to_string(index);
-    }
-    std::vector<Line> lines(Programs);
-    std::vector<Line> helpers(static_cast<std::size_t>(Programs) * Helpers);
-    for (std::size_t index = 0; index < lines.size(); ++index) {
-        lines[index].session = test.programs[index].id + "-line";
-        asio::co_spawn(test.context,
-                       goOn(test, fleet, test.programs[index], lines[index], TurnsBeforeHelpers),
-                       asio::detached);
-    }
-    co_await waitForAll(test);
-    for (std::size_t index = 0; index < helpers.size(); ++index) {
-        Program &program = test.programs[index / Helpers];
-        helpers[index] = {program.id + "-helper" + std::to_string(index),
-                          lines[index / Helpers].lastTurn};
-        asio::co_spawn(test.context, goOn(test, fleet, program, helpers[index], 1), asio::detached);
-    }
-    co_await sleepFor(KillDelay);
-    std::map<std::string, int> grants;
-    for (Program &program : test.programs) {
-        program.holder = holderOf(test, program);
-        grants[program.holder] += program.holder.empty() ? 0 : 1;
-        test.record.line("row of " + program.id + ": "
-                         + test.store.valueOf("programs", program.id));
-    }
-    std::string holder;
-    for (const auto &[name, count] : grants) {
-        holder = !name.empty() && (holder.empty() || count > grants[holder]) ? name : holder;
+    // With ALONE=1 no other caller sends the path, for comparison.
+    if (std::getenv("ALONE") == nullptr) {
+        asio::co_spawn(test.context, sendSound(test, fleet, "blue"), asio::detached);
+        asio::co_spawn(test.context, sendSound(test, fleet, "green"), asio::detached);
     }
-    for (std::size_t vm = 0; hasTrouble() && vm < Vms; ++vm) {
-        if ("front-a-" + std::to_string(vm + 1) == holder) {
-            test.killed = vm;
-            fleet.kill(vm);
-            co_await sleepFor(RestartDelay);
-            fleet.start(vm);
+    co_await sleepFor(Calm);
+    const std::string red = "red";
+    const auto until = Steady::now() + Duration;
+    while (Steady::now() < until) {
+        co_await send(test, fleet, red);
+        co_await sleepFor(RedPause);
+    }
+    test.isOver = true;
+    co_await sleepFor(Millis(1'500));
+    for (std::size_t vm = 0; vm < Vms; ++vm) {
+        if (!fleet.isRunning(vm)) {
+            test.record.line("a daemon is gone");
         }
     }
-    co_await waitForAll(test);
-    co_await sleepFor(ToolTime);
-    test.killed = Vms;
-    for (std::size_t index = 0; index < lines.size(); ++index) {
-        test.programs[index].failedTries = 0;
-        asio::co_spawn(test.context,
-                       goOn(test, fleet, test.programs[index], lines[index], TurnsAfterTheKill),
-                       asio::detached);
-    }
-    asio::co_spawn(test.context, sendFirstTurns(test, fleet), asio::detached);
-    co_await waitForAll(test);
-    co_await sleepFor(Millis(1'000));
-    int lost = 0;
-    for (const Program &program : test.programs) {
-        const bool isLost = program.failedTries >= TriesOfTheRule;
-        lost += isLost ? 1 : 0;
-        test.record.line("program " + program.id
-                         + (program.holder == holder ? " of the killed machine" : "") + ": "
-                         + number(program.turns) + " turns, handed " + number(program.handed)
-                         + " of " + number(Budget) + " tokens, last tries that reached no replica: "
-                         + number(program.failedTries) + ", last status " + program.lastStatus
-                         + ", row " + test.store.valueOf("programs", program.id));
-    }
-    test.record.line("turns that reached no replica in five tries, though the budget holds them: "
-                     + number(lost) + ", allowed 0; first turns that reached one: "
-                     + number(test.firstTurnsReached) + " of " + number(test.firstTurns));
-    const bool othersAreServed = test.firstTurnsReached * 10 >= test.firstTurns * 9;
-    co_return lost > 0 && othersAreServed ? ExitBroken : ExitHeld;
+    test.record.line(
+        "crashes " + std::to_string(test.crashes) + ", attempts of red at replicas "
+        + "after the third crash and contactMs: " + std::to_string(test.lateAttempts.size())
+        + ", allowed " + std::to_string(AllowedRetries) + "; sound answers "
+        + std::to_string(test.soundAnswers) + " of " + std::to_string(test.soundAttempts));
+    co_return test.lateAttempts.size() > AllowedRetries ? ExitBroken : ExitHeld;
 }
 
 } // namespace
