--- a/review/11/script.cpp
+++ b/review/11/script.cpp
@@ -45,7 +45,9 @@
 constexpr Millis RestartDelay{1'000};
 constexpr Millis CalmAfter{12'000};
 constexpr int Programs = 12;
-constexpr int MaxTurns = 20;
+/** In the outage; all of them are served, so that no program fails. */
+constexpr int PlainTurns = 8;
+constexpr int StoredTurns = 20;
 constexpr int Tries = 3;
 
 struct Program
@@ -161,11 +163,11 @@
 
 /** Goes on with a program until a turn has failed in all its tries, or there is no time left. */
 asio::awaitable<void> goOn(Case &test, Fleet &fleet, Program &program, Line &line,
-                           Steady::time_point until)
+                           Steady::time_point until, int turns)
 {
     test.busy += 1;
     bool isServed = true;
-    for (int turn = 0; isServed && turn < MaxTurns && Steady::now() < until; ++turn) {
+    for (int turn = 0; isServed && turn < turns && Steady::now() < until; ++turn) {
         isServed = false;
         for (int attempt = 0; !isServed && attempt < Tries; ++attempt) {
             isServed = co_await tryTurn(test, fleet, program, line);
@@ -230,7 +232,8 @@
     for (std::size_t index = 0; index < plain.size(); ++index) {
         plain[index] = {test.programs[index].id + "-plain", PlainPath, ""};
         stored[index] = {test.programs[index].id + "-stored", StoredPath, ""};
-        asio::co_spawn(test.context, goOn(test, fleet, test.programs[index], plain[index], until),
+        asio::co_spawn(test.context,
+                       goOn(test, fleet, test.programs[index], plain[index], until, PlainTurns),
                        asio::detached);
     }
     co_await waitForAll(test);
@@ -254,10 +257,10 @@
     }
     co_await sleepFor(CalmAfter);
     for (std::size_t index = 0; index < stored.size(); ++index) {
-        asio::co_spawn(
-            test.context,
-            goOn(test, fleet, test.programs[index], stored[index], Steady::now() + Millis(20'000)),
-            asio::detached);
+        asio::co_spawn(test.context,
+                       goOn(test, fleet, test.programs[index], stored[index],
+                            Steady::now() + Millis(20'000), StoredTurns),
+                       asio::detached);
     }
     co_await waitForAll(test);
     int exceeded = 0;
--- a/review/14/script.cpp
+++ b/review/14/script.cpp
@@ -58,6 +58,7 @@
     /** Tries of the turn that reached no replica, with the budget holding it. */
     int failedTries = 0;
     std::string lastStatus;
+    Millis retryAfter{0};
 };
 
 /** A line of turns: the program's own, or that of a helper. */
@@ -149,6 +150,7 @@
     const Answer answer = co_await request(front, host, id, attempt);
     program.handed += static_cast<int>(countEvents(answer.body)) * TokensPerEvent;
     program.lastStatus = number(answer.status);
+    program.retryAfter = std::min<Millis>(answer.retryAfter, Deadline / 3);
     test.record.line("answer " + id + " by vm " + std::to_string(vm + 1) + " " + program.lastStatus
                      + (answer.complete ? "" : ", broken off") + ", handed "
                      + number(program.handed));
@@ -172,7 +174,9 @@
         for (int attempt = 0; !isServed && attempt < Tries; ++attempt) {
             isServed = co_await tryTurn(test, fleet, program, line);
             if (!isServed) {
-                co_await sleepFor(RetryPause);
+                // A second attempt honours Retry-After; then the turn is sent again.
+                const Millis pause = attempt % 2 == 0 ? program.retryAfter : Millis(0);
+                co_await sleepFor(std::max(RetryPause, pause));
             }
         }
         co_await sleepFor(ThinkTime);
--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdlib>
 #include <exception>
 #include <filesystem>
@@ -458,6 +459,8 @@
         answer.status = parser.get().result_int();
         answer.hasSeal = parser.get().find("Replica-Seal") != parser.get().end();
         answer.body = parser.get().body();
+        const std::string pause(parser.get()["Retry-After"]);
+        answer.retryAfter = Millis(std::lround(std::atof(pause.c_str()) * 1'000));
     }
     answer.complete = !error;
     co_return answer;
--- a/review/harness-3/harness.h
+++ b/review/harness-3/harness.h
@@ -169,6 +169,8 @@
     std::string body;
     bool complete = false;
     bool hasSeal = false;
+    /** What Retry-After asks for; zero if there is none. */
+    Millis retryAfter{0};
 };
 
 /** Sends a request on a new channel and reads the answer until the deadline. */
