--- a/control/budget_grants.cpp
+++ b/control/budget_grants.cpp
@@ -47,6 +47,7 @@
 {
     Grant &grant = m_grants[request.program];
     grant.lastUsed = m_clock.now();
+    grant.hasStoredTurns = grant.hasStoredTurns || !request.mayBorrow;
     const bool wasStuck = isStuck(grant);
     grant.waiting.push_back({request, deadline, std::move(done), m_clock.now()});
     processQueue(request.program);
@@ -69,7 +70,8 @@
 
 bool BudgetGrants::isStuck(const Grant &grant) const
 {
-    const bool isLoanPending = m_lenders != nullptr && m_lenders->isLoanPending();
+    const bool isLoanPending =
+        grant.retryScheduled || (m_lenders != nullptr && m_lenders->isLoanPending());
     return grant.exchanging && m_health.unavailable() && !isLoanPending;
 }
 
@@ -182,15 +184,22 @@
     if (m_lenders == nullptr || !request.mayBorrow || !(isStoreSlow || m_health.unavailable())) {
         return LoanPermission::Denied;
     }
-    if (m_ledger.hasOnlyStoredTurns(program)) {
+    const bool isKnownToBorrow = m_ledger.hasTurnsThatBorrow(program);
+    if (m_ledger.hasOnlyStoredTurns(program) || (grant.hasStoredTurns && !isKnownToBorrow)) {
         // A successor that doesn't know what was lent may reserve the whole budget of such a one.
         return LoanPermission::Denied;
     }
     const std::int64_t used =
         m_ledger.committedBesides(program, grant.id) + grant.spent + grant.uncertainTokens();
-    const std::int64_t lendable = splitBudget(request.budget, request.maxTokens).lendable;
+    // Whoever doesn't know of a loan may reserve the whole budget of a program without a row, and
+    // that leaves the most of one turn.
+    const std::optional<Duration> oneTurnLimit =
+        isKnownToBorrow ? std::nullopt : m_lenders->oneTurnLimit();
+    const std::int64_t lendable = oneTurnLimit.has_value()
+        ? request.maxTokens
+        : splitBudget(request.budget, request.maxTokens).lendable;
     if (used + request.maxTokens > lendable) {
-        return LoanPermission::Denied;
+        return lendLater(program, grant, oneTurnLimit);
     }
     const LoanPermission permission =
         m_lenders->askToLend(program, {m_ledger.rowSeenAt(program), m_ledger.lastForgottenUse()});
@@ -214,6 +223,25 @@
     return LoanPermission::Granted;
 }
 
+LoanPermission BudgetGrants::lendLater(const ProgramId &program, Grant &grant,
+                                       std::optional<Duration> oneTurnLimit)
+{
+    if (!oneTurnLimit.has_value() || *oneTurnLimit == Duration(0)) {
+        return LoanPermission::Denied;
+    }
+    if (!grant.retryScheduled) {
+        grant.retryScheduled = true;
+        m_timers.after(*oneTurnLimit + Milliseconds(1), [this, program] {
+            const auto found = m_grants.find(program);
+            if (found != m_grants.end()) {
+                found->second.retryScheduled = false;
+                processQueue(program);
+            }
+        });
+    }
+    return LoanPermission::Pending;
+}
+
 void BudgetGrants::onLendingGranted()
 {
     std::vector<ProgramId> waiting;
--- a/control/budget_grants.h
+++ b/control/budget_grants.h
@@ -97,6 +97,10 @@
         bool hasLoan = false;
         /** Some of its turns could borrow. */
         bool mayBorrow = false;
+        /** Some of its turns, or of the requests for them, are of stored turns. */
+        bool hasStoredTurns = false;
+        /** A timer is set for when more may be lent. */
+        bool retryScheduled = false;
         std::int64_t size = 0;
         std::int64_t spent = 0;
         /** The most tokens of turns that have not been settled in time; they may have run. */
@@ -116,6 +120,9 @@
     void serveFirst(Grant &grant);
     /** Lets the first waiting turn run without the store if this VM may lend to the program. */
     LoanPermission lend(const ProgramId &program, Grant &grant);
+    /** Lends later what may not be lent yet, if that is known to come. */
+    LoanPermission lendLater(const ProgramId &program, Grant &grant,
+                             std::optional<Duration> oneTurnLimit);
     void exchange(const ProgramId &program, Grant &grant);
     void onExchanged(const ProgramId &program, const AttemptId &id, std::int64_t spentBefore,
                      ReservationResult result);
--- a/control/outage/budget_lenders.cpp
+++ b/control/outage/budget_lenders.cpp
@@ -4,6 +4,7 @@
 #include "core/logging.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/strip.h>
 
 #include <algorithm>
@@ -37,6 +38,12 @@
 /** VMs that start together know each other after this time. */
 constexpr Milliseconds StartDelay{2'000};
 constexpr Milliseconds CheckInterval{500};
+/** Promises are collected with each second check. */
+constexpr int ChecksPerCollection = 2;
+/** A VM that checks less often was suspended meanwhile. */
+constexpr Milliseconds LongestCheckInterval{1'500};
+/** A lender that is silent for so long notices that it isn't heard, if it runs. */
+constexpr Milliseconds UnheardLenderTime{1'000};
 constexpr Milliseconds FeedWait{4'000};
 /** All successors have read a release by then. */
 constexpr Milliseconds ReleaseLifetime{120'000};
@@ -52,6 +59,12 @@
     return {LenderTableName, "", LenderRowKey};
 }
 
+/** True if the rows may lack what the lender before has lent. */
+bool isLost(PreviousTenure previous)
+{
+    return previous == PreviousTenure::Lost || previous == PreviousTenure::OneTurnLent;
+}
+
 RowName releaseRow(const std::string &lender)
 {
     return {LenderTableName, "", ReleaseKeyPrefix + lender};
@@ -71,6 +84,7 @@
     , m_random(seed)
     , m_witness(clock)
     , m_rights(clock, timers, store, vms, send, loans.onGranted, seed)
+    , m_promises(clock, timers, store, vms, send, loans.areUnsettled)
     , m_send(std::move(send))
     , m_loans(std::move(loans))
     , m_startedAt(clock.now())
@@ -97,6 +111,9 @@
             m_timers.after(retryDelay(), [this] { read(); });
             return;
         }
+        if (!m_firstAnswer.has_value()) {
+            m_firstAnswer = result.storeTime;
+        }
         const bool isRowGone =
             std::none_of(result.rows.begin(), result.rows.end(),
                          [](const StoreRow &row) { return row.name == lenderRow(); });
@@ -265,6 +282,7 @@
     case PreviousTenure::Released:
         return ReleasedTenureDelay;
     case PreviousTenure::Lost:
+    case PreviousTenure::OneTurnLent:
         return LostTenureDelay;
     case PreviousTenure::NothingLent:
         return EndedTenureDelay;
@@ -285,26 +303,94 @@
 
 bool BudgetLenders::isComplete(const OwnTenure &tenure) const
 {
-    return tenure.previous != PreviousTenure::Lost || isSettled(tenure);
+    return !isLost(tenure.previous) || isSettled(tenure);
 }
 
 BudgetAuthority BudgetLenders::authorityOver(const ProgramId &program) const
 {
     const OwnTenure *tenure = validTenure(program);
-    if (tenure != nullptr) {
-        return isComplete(*tenure) ? BudgetAuthority::Whole : BudgetAuthority::WholeOfStoredTurns;
+    if (tenure == nullptr) {
+        return authorityBeside(m_table.empty() ? std::string()
+                                               : m_table[lenderPartition(program)].lender);
+    }
+    if (isComplete(*tenure)) {
+        return BudgetAuthority::Whole;
     }
-    return hasLiveLender(program) ? BudgetAuthority::Restricted
-                                  : BudgetAuthority::WholeOfStoredTurns;
+    return tenure->previous == PreviousTenure::OneTurnLent ? BudgetAuthority::WholeOfStoredTurns
+                                                           : BudgetAuthority::WholeOfStoredRows;
 }
 
-bool BudgetLenders::hasLiveLender(const ProgramId &program) const
+BudgetAuthority BudgetLenders::authorityBeside(const std::string &lender) const
 {
-    if (m_table.empty()) {
-        return false;
+    if (lender == m_self || m_vms.findLive(lender).has_value()) {
+        return BudgetAuthority::Restricted;
+    }
+    return m_hearsMost && m_promisedSilent.contains(lender) ? BudgetAuthority::WholeOfStoredTurns
+                                                            : BudgetAuthority::WholeOfStoredRows;
+}
+
+std::optional<Duration> BudgetLenders::oneTurnLimit() const
+{
+    if (!m_storesTurns) {
+        return std::nullopt;
+    }
+    const Duration promised = m_promises.timeLeft();
+    if (promised > Duration(0)) {
+        return promised;
+    }
+    // VMs that don't hear this one may have reserved whole budgets in rows that it doesn't know.
+    const BootTime now = m_clock.bootNow();
+    const bool wasSuspended = !m_checkedAt.has_value() || now > *m_checkedAt + LongestCheckInterval;
+    const bool wasUnheard = m_unheardAt.has_value() && now < *m_unheardAt + ReleasedTenureDelay;
+    return wasSuspended || wasUnheard ? std::optional(Duration(0)) : std::nullopt;
+}
+
+void BudgetLenders::noteWhetherHeard(std::size_t silent, std::size_t lenders)
+{
+    const BootTime now = m_clock.bootNow();
+    const bool wasSuspended = m_checkedAt.has_value() && now > *m_checkedAt + LongestCheckInterval;
+    const bool hearsHalf = 2 * silent <= lenders;
+    if (!m_ownTenures.empty() && (wasSuspended || !hearsHalf)) {
+        m_unheardAt = now;
+    }
+    m_hearsMost = 2 * silent < lenders;
+    m_checkedAt = now;
+}
+
+void BudgetLenders::checkSilentLenders()
+{
+    const SteadyTime now = m_clock.now();
+    const std::set<std::string> lenders = lendersOfTable();
+    std::erase_if(m_promisedSilent, [&](const std::string &lender) {
+        return !lenders.contains(lender) || m_vms.findLive(lender).has_value();
+    });
+    bool isReadNeeded = false;
+    for (const auto &[lender, since] : m_silentSince) {
+        if (now < since + UnheardLenderTime || m_promisedSilent.contains(lender)) {
+            continue;
+        }
+        // What was promised after the lender fell silent says nothing about the time before.
+        const std::optional<SteadyTime> readAt = m_promises.readAt();
+        if (!readAt.has_value() || *readAt < since) {
+            isReadNeeded = true;
+        } else if (m_promises.isPromisedAt(lender, since)) {
+            m_promisedSilent.insert(lender);
+        }
+    }
+    if (isReadNeeded && m_storesTurns) {
+        m_promises.read();
+    }
+}
+
+std::set<std::string> BudgetLenders::lendersOfTable() const
+{
+    std::set<std::string> lenders;
+    for (const LenderTenure &tenure : m_table) {
+        if (!tenure.lender.empty()) {
+            lenders.insert(tenure.lender);
+        }
     }
-    const std::string &lender = m_table[lenderPartition(program)].lender;
-    return lender == m_self || m_vms.findLive(lender).has_value();
+    return lenders;
 }
 
 bool BudgetLenders::mayLend(const ProgramId &program, const ProgramKnowledge &knowledge) const
@@ -355,6 +441,7 @@
             silentSince[tenure.lender] = known == m_silentSince.end() ? now : known->second;
         }
     }
+    noteWhetherHeard(silentSince.size(), lenders.size());
     // A VM that hears few of the others is more likely to be cut off itself.
     const bool hearsHalf = 2 * silentSince.size() <= lenders.size();
     for (const auto &[lender, since] : silentSince) {
@@ -389,6 +476,14 @@
         handleTestimony(note);
         return;
     }
+    if (note.kind == Kind::PROMISE_REQUEST || note.kind == Kind::PROMISE) {
+        m_promises.receive(from, note);
+        return;
+    }
+    if (note.kind == Kind::START_QUESTION || note.kind == Kind::START) {
+        answerStart(from, note);
+        return;
+    }
     if (note.witness != m_self) {
         // Meant for an earlier incarnation, whose memory is gone.
         return;
@@ -413,18 +508,26 @@
 void BudgetLenders::checkLenders()
 {
     m_timers.after(CheckInterval, [this] { checkLenders(); });
+    if (!m_hasRead || m_gaveUp) {
+        return;
+    }
+    const std::vector<std::string> available = availableVms();
+    checkSilentLenders();
     const bool isDue = m_clock.now() >= m_startedAt + StartDelay;
-    if (!m_hasRead || m_writing || m_gaveUp || !isDue) {
+    if (m_writing || !isDue) {
         return;
     }
     maintainOwnTenures();
-    const std::vector<std::string> available = availableVms();
     removeOldReleases();
     // One VM writes, so that the others' writes don't meet it.
     if (m_writing || m_vms.coordinatorFor(LenderTableName).has_value()) {
         m_inquiries.clear();
         return;
     }
+    m_checks += 1;
+    if (m_storesTurns && m_checks % ChecksPerCollection == 0) {
+        m_promises.collect(lendersOfTable());
+    }
     std::set<std::string> lost;
     for (const LenderTenure &tenure : m_table) {
         const bool isAvailable =
@@ -453,7 +556,7 @@
     }
     TableChange change{m_table, {}, {}, {}};
     for (const auto &[partition, tenure] : m_ownTenures) {
-        if (tenure.previous == PreviousTenure::Lost && isSettled(tenure)) {
+        if (isLost(tenure.previous) && isSettled(tenure)) {
             change.table[partition].previous = PreviousTenure::Released;
         }
     }
@@ -462,119 +565,6 @@
     }
 }
 
-bool BudgetLenders::inquire(const std::set<std::string> &lost)
-{
-    std::erase_if(m_inquiries, [&](const auto &item) { return !lost.contains(item.first); });
-    bool allDone = true;
-    for (const std::string &lender : lost) {
-        const auto found = m_inquiries.find(lender);
-        if (found == m_inquiries.end()) {
-            startInquiry(lender);
-            allDone = false;
-            continue;
-        }
-        if (resultOf(found->second, m_clock.now()) == InquiryResult::Pending) {
-            askWitnesses(lender, found->second);
-            allDone = false;
-        }
-    }
-    return allDone;
-}
-
-void BudgetLenders::startInquiry(const std::string &lender)
-{
-    m_inquiries[lender].startedAt = m_clock.now();
-    const RowName name = witnessRow(lender);
-    m_store.read({name.table, name.partition, name.key, name.key + " "},
-                 [this, lender](const ReadResult &result) {
-                     const auto found = m_inquiries.find(lender);
-                     if (found == m_inquiries.end()) {
-                         return;
-                     }
-                     if (result.answer != StoreAnswer::Done) {
-                         // Without the store no lender is replaced anyway.
-                         m_inquiries.erase(found);
-                         return;
-                     }
-                     LossInquiry &inquiry = found->second;
-                     inquiry.list = WitnessList();
-                     if (!result.rows.empty()) {
-                         inquiry.rowVersion = result.rows.front().version;
-                         inquiry.list =
-                             decodeWitnessList(result.rows.front().value).value_or(WitnessList());
-                     }
-                     askWitnesses(lender, inquiry);
-                 });
-}
-
-void BudgetLenders::askWitnesses(const std::string &lender, const LossInquiry &inquiry)
-{
-    if (!inquiry.list.has_value()) {
-        return;
-    }
-    for (const std::string &witness : inquiry.list->witnesses) {
-        peers::LendingNote note;
-        note.kind = peers::LendingNoteKind::CLOSE;
-        note.lender = lender;
-        note.witness = witness;
-        note.revision = inquiry.list->revision;
-        if (witness == m_self) {
-            note.hasLent = m_witness.close(lender, note.revision);
-            handleTestimony(note);
-        } else if (const std::optional<Endpoint> endpoint = m_vms.findLive(witness)) {
-            m_send(*endpoint, note);
-        }
-    }
-}
-
-void BudgetLenders::handleTestimony(const peers::LendingNote &note)
-{
-    const auto found = m_inquiries.find(note.lender);
-    if (found != m_inquiries.end()) {
-        addTestimony(found->second, note);
-    }
-}
-
-void BudgetLenders::replace(const std::set<std::string> &lost,
-                            const std::vector<std::string> &available)
-{
-    TableChange change{m_table, {}, {}, {}};
-    if (change.table.empty()) {
-        const PreviousTenure before = m_isFirstStart ? PreviousTenure::None : PreviousTenure::Lost;
-        change.table = LenderTable(LenderPartitions, LenderTenure{"", before, "", 0});
-    }
-    LenderExceptions exceptions;
-    for (const std::string &lender : lost) {
-        const LossInquiry &inquiry = m_inquiries.at(lender);
-        const bool nothingLent = resultOf(inquiry, m_clock.now()) == InquiryResult::NothingLent;
-        if (nothingLent) {
-            exceptions.withoutLoans.insert(lender);
-            change.conditions.push_back({witnessRow(lender), inquiry.rowVersion});
-        }
-        if (inquiry.rowVersion != RowRevision(0)) {
-            change.removals.push_back(witnessRow(lender));
-        }
-        LogLine("lenders")
-            .add("lender", lender)
-            .add("witnesses", static_cast<std::int64_t>(inquiry.withoutLoans.size()))
-            .add("testimonies", testimoniesOf(inquiry, m_vms))
-            .add("replaced", m_vms.isReplaced(lender) ? "restarted" : "silent")
-            .add("outcome", nothingLent ? "lost-nothing-lent" : "lost")
-            .warning();
-    }
-    // Lost lenders beyond MaxReplacedAtOnce are replaced by a change of their own.
-    for (const LenderTenure &tenure : m_table) {
-        if (!tenure.lender.empty() && !lost.contains(tenure.lender)) {
-            exceptions.kept.insert(tenure.lender);
-        }
-    }
-    replaceLostLenders(change.table, available, exceptions);
-    if (change.table == m_table) {
-        return;
-    }
-    write(std::move(change), [this](bool) { m_inquiries.clear(); });
-}
-
 void BudgetLenders::removeOldReleases()
 {
     const bool removesRows = !m_vms.coordinatorFor(LenderTableName).has_value();
--- a/control/outage/budget_lenders.h
+++ b/control/outage/budget_lenders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/outage/lender_table.h"
+#include "control/outage/lending_promises.h"
 #include "control/outage/lending_rights.h"
 #include "control/outage/lending_witness.h"
 #include "control/outage/loss_inquiry.h"
@@ -92,6 +93,16 @@
     bool mayLend(const ProgramId &program, const ProgramKnowledge &knowledge) const;
     /** mayLend(), and whether the witnesses know; tells them if they don't. */
     LoanPermission askToLend(const ProgramId &program, const ProgramKnowledge &knowledge);
+    /**
+     * From now on a route in force stores turns. A program may have such turns and others, so that
+     * lenders lend little to programs of which they know no row.
+     */
+    void storeTurns() { m_storesTurns = true; }
+    /**
+     * None if this VM may lend more than one turn to a program of which it knows no row. Else how
+     * long it may not; 0 if that is not known.
+     */
+    std::optional<Duration> oneTurnLimit() const;
     /** The witnesses have been told that this VM lends, and are likely to answer soon. */
     bool isLoanPending() const { return m_rights.isPending(); }
     /** Adds who lends for a program, and which lost lender is why nobody may use its whole budget.
@@ -139,7 +150,8 @@
     };
 
     const OwnTenure *validTenure(const ProgramId &program) const;
-    bool hasLiveLender(const ProgramId &program) const;
+    /** How much of a budget may be reserved by a VM that is not its lender. */
+    BudgetAuthority authorityBeside(const std::string &lender) const;
     /** Time after which programs that the new lender has not met have ended. */
     static Duration delayAfter(PreviousTenure previous);
     /** True if that time has passed. */
@@ -167,6 +179,17 @@
     void checkLenders();
     /** Live VMs, and lenders that may be live: silent for a short time, or with most others. */
     std::vector<std::string> availableVms();
+    /** Notes whether this VM and most others have heard each other since the last check. */
+    void noteWhetherHeard(std::size_t silent, std::size_t lenders);
+    /** Finds the silent lenders that can have lent at most one turn to programs without a row. */
+    void checkSilentLenders();
+    std::set<std::string> lendersOfTable() const;
+    /** True if a lost lender's promise to lend little held until it was lost. */
+    bool keptItsPromise(const std::string &lender, const LossInquiry &inquiry) const;
+    /** True if @p lender is an earlier incarnation of this VM. */
+    bool isOwnIncarnation(const std::string &lender) const;
+    void askForStart(const std::string &lender);
+    void answerStart(const Endpoint &from, const peers::LendingNote &note);
     /** Keeps the list of witnesses, and marks partitions whose waiting time is over. */
     void maintainOwnTenures();
     /** Starts and goes on with the inquiries about lost lenders; true once all have a result. */
@@ -208,8 +231,20 @@
     std::map<std::string, Release> m_releases;
     /** Since when each lender has not been live. */
     std::map<std::string, SteadyTime> m_silentSince;
+    /** Silent lenders that can have lent at most one turn to programs without a row. */
+    std::set<std::string> m_promisedSilent;
+    /** This VM hears more than half of the lenders. */
+    bool m_hearsMost = false;
+    std::optional<BootTime> m_checkedAt;
+    /** While this VM was a lender, most others may not have heard it at this time. */
+    std::optional<BootTime> m_unheardAt;
+    /** When the store first answered this incarnation, by the store's clock. */
+    std::optional<Milliseconds> m_firstAnswer;
+    bool m_storesTurns = false;
+    int m_checks = 0;
     LendingWitness m_witness;
     LendingRights m_rights;
+    LendingPromises m_promises;
     LendingRights::Send m_send;
     Loans m_loans;
     std::map<std::string, LossInquiry> m_inquiries;
--- a/control/outage/lender_table.cpp
+++ b/control/outage/lender_table.cpp
@@ -45,6 +45,8 @@
  * older version read it as a release without a list of programs.
  */
 constexpr const char *NothingLentMark = "lost, nothing lent";
+/** The same for one that may have lent one turn to each new program; others read it as lost. */
+constexpr const char *OneTurnLentMark = "lost, one turn lent";
 
 /** Lender, previous tenure, who released the partition, and the number of the tenure. */
 constexpr std::size_t NumbersPerPartition = 4;
@@ -60,6 +62,32 @@
     return name.is_string() ? std::optional(std::string(name.get_string())) : std::nullopt;
 }
 
+/** How older versions know the end of the tenure before. */
+PreviousTenure basicTenure(PreviousTenure previous)
+{
+    switch (previous) {
+    case PreviousTenure::NothingLent:
+        return PreviousTenure::Released;
+    case PreviousTenure::OneTurnLent:
+        return PreviousTenure::Lost;
+    default:
+        return previous;
+    }
+}
+
+/** What stands in place of who released a partition. */
+std::string markOf(const LenderTenure &tenure)
+{
+    switch (tenure.previous) {
+    case PreviousTenure::NothingLent:
+        return NothingLentMark;
+    case PreviousTenure::OneTurnLent:
+        return OneTurnLentMark;
+    default:
+        return tenure.releasedBy;
+    }
+}
+
 std::optional<PreviousTenure> previousTenureOf(const json::value &value)
 {
     if (!value.is_int64() || value.get_int64() < 0
@@ -91,11 +119,9 @@
     };
     json::array partitions;
     for (const LenderTenure &tenure : table) {
-        const bool nothingLent = tenure.previous == PreviousTenure::NothingLent;
         partitions.push_back(numberOf(tenure.lender));
-        partitions.push_back(
-            static_cast<std::int64_t>(nothingLent ? PreviousTenure::Released : tenure.previous));
-        partitions.push_back(numberOf(nothingLent ? NothingLentMark : tenure.releasedBy));
+        partitions.push_back(static_cast<std::int64_t>(basicTenure(tenure.previous)));
+        partitions.push_back(numberOf(markOf(tenure)));
         partitions.push_back(tenure.number);
     }
     return json::serialize(json::object{{"names", names}, {"partitions", partitions}});
@@ -127,6 +153,10 @@
             table.push_back({*lender, PreviousTenure::NothingLent, "", number.get_int64()});
             continue;
         }
+        if (*previous == PreviousTenure::Lost && *releasedBy == OneTurnLentMark) {
+            table.push_back({*lender, PreviousTenure::OneTurnLent, "", number.get_int64()});
+            continue;
+        }
         table.push_back({*lender, *previous, *releasedBy, number.get_int64()});
     }
     return table;
@@ -158,6 +188,23 @@
     return programs;
 }
 
+namespace {
+
+/** How the tenure of a lost lender has ended. */
+PreviousTenure endOf(const LenderTenure &tenure, const LenderExceptions &exceptions)
+{
+    const bool nothingLent = exceptions.withoutLoans.contains(tenure.lender);
+    const bool isPromised = nothingLent || exceptions.promised.contains(tenure.lender);
+    // A lender that does not know itself what was lent before it can't have its successor know it.
+    if (tenure.previous == PreviousTenure::Lost || !isPromised) {
+        return PreviousTenure::Lost;
+    }
+    const bool isCertain = nothingLent && tenure.previous != PreviousTenure::OneTurnLent;
+    return isCertain ? PreviousTenure::NothingLent : PreviousTenure::OneTurnLent;
+}
+
+} // namespace
+
 void replaceLostLenders(LenderTable &table, const std::vector<std::string> &live,
                         const LenderExceptions &exceptions)
 {
@@ -170,9 +217,7 @@
             continue;
         }
         if (!tenure.lender.empty()) {
-            const bool nothingLent = exceptions.withoutLoans.contains(tenure.lender)
-                && tenure.previous != PreviousTenure::Lost;
-            tenure.previous = nothingLent ? PreviousTenure::NothingLent : PreviousTenure::Lost;
+            tenure.previous = endOf(tenure, exceptions);
             tenure.releasedBy.clear();
         }
         tenure.lender = leastLoaded(loads);
--- a/control/outage/lender_table.h
+++ b/control/outage/lender_table.h
@@ -22,6 +22,11 @@
     Lost,
     /** The lender is lost, and its witnesses say that it has lent nothing. */
     NothingLent,
+    /**
+     * The lender is lost. It had promised to lend at most one turn to each program of which it
+     * knows no row that says that the program borrows.
+     */
+    OneTurnLent,
 };
 
 /** Who lends the budgets of one partition of the programs. */
@@ -66,6 +71,8 @@
     std::set<std::string> withoutLoans;
     /** Not to be replaced yet. */
     std::set<std::string> kept;
+    /** Lost before their promise to lend little to new programs had run out. */
+    std::set<std::string> promised = {};
 };
 
 /**
--- a/control/outage/loss_inquiry.cpp
+++ b/control/outage/loss_inquiry.cpp
@@ -39,14 +39,11 @@
 
 InquiryResult resultOf(const LossInquiry &inquiry, SteadyTime now)
 {
+    // What is not known by the witnesses may be known by the VM's next incarnation.
     const bool isOver = now >= inquiry.startedAt + InquiryTime;
-    if (!inquiry.list.has_value()) {
-        return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
-    }
-    if (inquiry.list->witnesses.empty() || !inquiry.withLoans.empty()) {
-        return InquiryResult::Unknown;
-    }
-    if (inquiry.withoutLoans.size() >= inquiry.list->testimonies) {
+    const bool canTell =
+        inquiry.list.has_value() && !inquiry.list->witnesses.empty() && inquiry.withLoans.empty();
+    if (canTell && inquiry.withoutLoans.size() >= inquiry.list->testimonies) {
         return InquiryResult::NothingLent;
     }
     return isOver ? InquiryResult::Unknown : InquiryResult::Pending;
--- a/control/outage/loss_inquiry.h
+++ b/control/outage/loss_inquiry.h
@@ -23,6 +23,8 @@
     std::set<std::string> withoutLoans;
     /** Witnesses that know of loans that the rows may lack. */
     std::set<std::string> withLoans;
+    /** When the next incarnation of the VM was first answered, by the store's clock. */
+    std::optional<Milliseconds> nextStart;
 };
 
 enum class InquiryResult { Pending, NothingLent, Unknown };
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -172,6 +172,12 @@
     return found != m_programs.end() && found->second.record.turns == ProgramTurns::StoredOnly;
 }
 
+bool ProgramLedger::hasTurnsThatBorrow(const ProgramId &program) const
+{
+    const auto found = m_programs.find(program);
+    return found != m_programs.end() && found->second.record.turns == ProgramTurns::Any;
+}
+
 std::vector<ProgramId> ProgramLedger::programsUsedSince(BootTime time) const
 {
     std::vector<ProgramId> programs;
@@ -322,6 +328,8 @@
     switch (authority) {
     case BudgetAuthority::Restricted:
         break;
+    case BudgetAuthority::WholeOfStoredRows:
+        return request.mayBorrow || record.turns != ProgramTurns::StoredOnly;
     case BudgetAuthority::WholeOfStoredTurns:
         return request.mayBorrow || record.turns == ProgramTurns::Any;
     case BudgetAuthority::Whole:
@@ -360,8 +368,11 @@
     const std::int64_t left = tokensLeft(request, changed, restricted);
     const std::int64_t tokens = tokensToReserve(request, left);
     if (tokens <= left && reserveTurn(changed, turn, tokens, request.budget)) {
+        // The lender of a program without a row may have lent to it, which a restricted VM can't
+        // know.
+        const bool mayHaveBorrowed = restricted && record.turns == ProgramTurns::None;
+        noteTurn(changed, request.mayBorrow || mayHaveBorrowed);
         // What replaces a reservation of a restricted VM may cover turns that this one allowed.
-        noteTurn(changed, request.mayBorrow);
         if (restricted || record.restricted.contains(request.replaces)) {
             changed.restricted.insert(turn);
         }
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -60,7 +60,9 @@
 enum class BudgetAuthority {
     /** The part of all VMs that don't know what the lender has lent (splitBudget()). */
     Restricted,
-    /** The whole budget if all turns of the program are stored, since these are never lent for. */
+    /** The whole budget if the row says that all turns are stored: these are never lent for. */
+    WholeOfStoredRows,
+    /** The same, and if there is no row yet: at most one turn was lent to such a program. */
     WholeOfStoredTurns,
     Whole,
 };
@@ -111,6 +113,8 @@
     std::int64_t committedBesides(const ProgramId &program, const AttemptId &besides) const;
     /** True if the last known row shows that all turns of the program are stored. */
     bool hasOnlyStoredTurns(const ProgramId &program) const;
+    /** True if the last known row shows that the program has had turns that may be lent for. */
+    bool hasTurnsThatBorrow(const ProgramId &program) const;
     /** The programs that this VM has reserved or settled tokens for since @p time. */
     std::vector<ProgramId> programsUsedSince(BootTime time) const;
     /** When the last known row was asked for or written; none if the row is not known. */
--- a/control/route_table.cpp
+++ b/control/route_table.cpp
@@ -33,6 +33,12 @@
     return longest;
 }
 
+bool storesTurns(const RouteTable &table)
+{
+    return std::any_of(table.routes.begin(), table.routes.end(),
+                       [](const RoutePolicy &route) { return route.storesTurns; });
+}
+
 const PoolName &chooseService(const RoutePolicy &route, std::string_view key)
 {
     std::int64_t total = 0;
--- a/control/route_table.h
+++ b/control/route_table.h
@@ -101,6 +101,9 @@
 /** The longest time for which any route stores turns; zero if there is no route table. */
 Milliseconds maxTurnRetention(const std::shared_ptr<const RouteTable> &table);
 
+/** True if some route stores turns. */
+bool storesTurns(const RouteTable &table);
+
 /** Chooses a service by the weights of the route; the same @p key always gives the same service. */
 const PoolName &chooseService(const RoutePolicy &route, std::string_view key);
 
--- a/control/row_store.h
+++ b/control/row_store.h
@@ -73,6 +73,8 @@
     RowRevision version;
     /** On a conflict, those rows of the conditions that exist. */
     std::vector<StoreRow> current;
+    /** The store's clock, which is steady, when it answered; none without an answer. */
+    std::optional<Milliseconds> storeTime = std::nullopt;
 };
 
 struct ReadResult
@@ -81,6 +83,8 @@
     std::vector<StoreRow> rows;
     /** The store's newest version at the time of the read. */
     RowRevision version;
+    /** As in TransactionResult; of the first page that was read. */
+    std::optional<Milliseconds> storeTime = std::nullopt;
 };
 
 /** Selects rows of one partition, in key order. */
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -371,6 +371,14 @@
     return isFound ? std::optional(found->second.peers) : std::nullopt;
 }
 
+std::optional<Endpoint> VmDirectory::findSuccessor(const std::string &incarnation) const
+{
+    const auto found = m_others.find(parseIncarnation(incarnation).vm);
+    const bool isFound =
+        found != m_others.end() && isReplaced(incarnation) && isLive(found->second);
+    return isFound ? std::optional(found->second.peers) : std::nullopt;
+}
+
 bool VmDirectory::isReplaced(const std::string &incarnation) const
 {
     const IncarnationParts parts = parseIncarnation(incarnation);
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -128,6 +128,8 @@
     std::vector<std::string> otherIncarnations(bool ofOwnZone) const;
     /** Address for datagrams of an incarnation of another VM; nothing if it is not live. */
     std::optional<Endpoint> findLive(const std::string &incarnation) const;
+    /** Address of a live, later incarnation of the same VM; nothing if none is known. */
+    std::optional<Endpoint> findSuccessor(const std::string &incarnation) const;
     /** True if a later incarnation of the same VM is known. */
     bool isReplaced(const std::string &incarnation) const;
     /** Number of live VMs, this one included. */
--- a/main/platform_daemon.cpp
+++ b/main/platform_daemon.cpp
@@ -358,6 +358,9 @@
         .add("before", previousVersion)
         .add("outcome", "in force")
         .info();
+    if (storesTurns(*table)) {
+        m_lenders.storeTurns();
+    }
     m_ready = !m_stop.has_value();
     m_vms.markStarted();
     asio::post(m_traffic, [this, limits = table->limits] { m_front.setLimits(limits); });
--- a/peers/gen/messages_types.cpp
+++ b/peers/gen/messages_types.cpp
@@ -274,16 +274,24 @@
   LendingNoteKind::ACKNOWLEDGEMENT,
   LendingNoteKind::CLEARED,
   LendingNoteKind::CLOSE,
-  LendingNoteKind::CLOSED
+  LendingNoteKind::CLOSED,
+  LendingNoteKind::PROMISE_REQUEST,
+  LendingNoteKind::PROMISE,
+  LendingNoteKind::START_QUESTION,
+  LendingNoteKind::START
 };
 const char* _kLendingNoteKindNames[] = {
   "NOTICE",
   "ACKNOWLEDGEMENT",
   "CLEARED",
   "CLOSE",
-  "CLOSED"
+  "CLOSED",
+  "PROMISE_REQUEST",
+  "PROMISE",
+  "START_QUESTION",
+  "START"
 };
-const std::map<int, const char*> _LendingNoteKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kLendingNoteKindValues, _kLendingNoteKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _LendingNoteKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(9, _kLendingNoteKindValues, _kLendingNoteKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const LendingNoteKind::type& val) {
   std::map<int, const char*>::const_iterator it = _LendingNoteKind_VALUES_TO_NAMES.find(val);
@@ -4164,6 +4172,11 @@
 void LendingNote::__set_hasLent(const bool val) {
   this->hasLent = val;
 }
+
+void LendingNote::__set_storeMillis(const int64_t val) {
+  this->storeMillis = val;
+__isset.storeMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const LendingNote& obj)
 {
   obj.printTo(out);
@@ -4242,6 +4255,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeMillis);
+          this->__isset.storeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4283,6 +4304,11 @@
   xfer += oprot->writeBool(this->hasLent);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeMillis) {
+    xfer += oprot->writeFieldBegin("storeMillis", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->storeMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4296,6 +4322,7 @@
   swap(a.revision, b.revision);
   swap(a.sequence, b.sequence);
   swap(a.hasLent, b.hasLent);
+  swap(a.storeMillis, b.storeMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -4306,6 +4333,7 @@
   revision = other85.revision;
   sequence = other85.sequence;
   hasLent = other85.hasLent;
+  storeMillis = other85.storeMillis;
   __isset = other85.__isset;
 }
 LendingNote& LendingNote::operator=(const LendingNote& other86) {
@@ -4315,6 +4343,7 @@
   revision = other86.revision;
   sequence = other86.sequence;
   hasLent = other86.hasLent;
+  storeMillis = other86.storeMillis;
   __isset = other86.__isset;
   return *this;
 }
@@ -4327,6 +4356,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "hasLent=" << to_string(hasLent);
+  out << ", " << "storeMillis="; (__isset.storeMillis ? (out << to_string(storeMillis)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/messages_types.h
+++ b/peers/gen/messages_types.h
@@ -143,7 +143,11 @@
     ACKNOWLEDGEMENT = 1,
     CLEARED = 2,
     CLOSE = 3,
-    CLOSED = 4
+    CLOSED = 4,
+    PROMISE_REQUEST = 5,
+    PROMISE = 6,
+    START_QUESTION = 7,
+    START = 8
   };
 };
 
@@ -1734,13 +1738,14 @@
 std::ostream& operator<<(std::ostream& out, const QuotaNote& obj);
 
 typedef struct _LendingNote__isset {
-  _LendingNote__isset() : kind(false), lender(false), witness(false), revision(false), sequence(false), hasLent(false) {}
+  _LendingNote__isset() : kind(false), lender(false), witness(false), revision(false), sequence(false), hasLent(false), storeMillis(false) {}
   bool kind :1;
   bool lender :1;
   bool witness :1;
   bool revision :1;
   bool sequence :1;
   bool hasLent :1;
+  bool storeMillis :1;
 } _LendingNote__isset;
 
 class LendingNote : public virtual ::apache::thrift::TBase {
@@ -1754,7 +1759,8 @@
                 witness(),
                 revision(0),
                 sequence(0),
-                hasLent(0) {
+                hasLent(0),
+                storeMillis(0) {
   }
 
   virtual ~LendingNote() noexcept;
@@ -1768,6 +1774,7 @@
   int64_t revision;
   int64_t sequence;
   bool hasLent;
+  int64_t storeMillis;
 
   _LendingNote__isset __isset;
 
@@ -1783,6 +1790,8 @@
 
   void __set_hasLent(const bool val);
 
+  void __set_storeMillis(const int64_t val);
+
   bool operator == (const LendingNote & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1797,6 +1806,10 @@
       return false;
     if (!(hasLent == rhs.hasLent))
       return false;
+    if (__isset.storeMillis != rhs.__isset.storeMillis)
+      return false;
+    else if (__isset.storeMillis && !(storeMillis == rhs.storeMillis))
+      return false;
     return true;
   }
   bool operator != (const LendingNote &rhs) const {
--- a/peers/messages.thrift
+++ b/peers/messages.thrift
@@ -343,9 +343,18 @@
     // The sender replaces the lender: whether it has lent, and no notice is acknowledged any more.
     CLOSE = 3,
     CLOSED = 4,
+    // Asks a lender to promise that for a while it lends at most one turn to each program of which
+    // it knows no row.
+    PROMISE_REQUEST = 5,
+    // The lender promises it; the rows contain all that it has lent.
+    PROMISE = 6,
+    // Asks the VM of a lost lender when the incarnation after it was first answered by the store.
+    START_QUESTION = 7,
+    START = 8,
 }
 
-// A message between a lender of budgets, or a VM that replaces it, and one of its witnesses.
+// A message between a lender of budgets, or a VM that replaces it, and one of its witnesses; or
+// about the lender's promises.
 struct LendingNote {
     1: LendingNoteKind kind;
     // Names of the incarnations of the lender and of the witness.
@@ -353,10 +362,12 @@
     3: string witness;
     // Number of the lender's list of witnesses.
     4: i64 revision;
-    // Number of the lender's notice.
+    // Number of the lender's notice, or of the round of promises.
     5: i64 sequence;
     // CLOSED: the rows may lack what the lender has lent.
     6: bool hasLent;
+    // START: time of the store's clock in milliseconds.
+    7: optional i64 storeMillis;
 }
 
 // One datagram.
--- a/standin/row_server.cpp
+++ b/standin/row_server.cpp
@@ -77,8 +77,10 @@
         }
         list.push_back(std::move(item));
     }
-    return json::serialize(
-        json::object{{"rows", list}, {"ver", version.value()}, {"morePages", false}});
+    const auto now = std::chrono::duration_cast<Milliseconds>(
+        std::chrono::steady_clock::now().time_since_epoch());
+    return json::serialize(json::object{
+        {"rows", list}, {"ver", version.value()}, {"nowMs", now.count()}, {"morePages", false}});
 }
 
 HttpResponse emptyResponse(unsigned status)
--- a/tests/control/budget_lending_test.cpp
+++ b/tests/control/budget_lending_test.cpp
@@ -613,16 +613,22 @@
     EXPECT_LT(fleet.lenderOf("p"), fleet.size());
 }
 
+namespace {
+
+/** Whether a program has stored turns and others. */
+enum class TurnKinds { One, Both };
+
 /**
  * A program that loops, on all VMs, while VMs crash, stop and lose the store, and the store loses
  * answers and applies writes late. Whichever condition of the lenders is left out, its budget is
  * exceeded for some seed.
  */
-RC_GTEST_PROP(BudgetLendingProperty, ABudgetIsKeptWhateverFails, (std::uint64_t seed))
+void playLoopingPrograms(std::uint64_t seed, TurnKinds turns)
 {
     std::mt19937_64 random(seed);
     // Of three VMs each lends only while both others answer, of four while one of them is down.
     LendingFleet fleet(3 + random() % 2, seed);
+    fleet.storeTurns();
     std::string program = "program-0";
     bool isStored = random() % 2 == 0;
     SteadyTime begunAt = fleet.clock.now();
@@ -667,7 +673,8 @@
             break;
         }
         default:
-            if (fleet.reserve(vm, program, Milliseconds(random() % 1'500), isStored)
+            if (fleet.reserve(vm, program, Milliseconds(random() % 1'500),
+                              turns == TurnKinds::Both ? random() % 2 == 0 : isStored)
                     == ReservationResult::Granted
                 && random() % 4 != 0) {
                 fleet.settle(vm, program, MaxTurnTokens);
@@ -683,4 +690,17 @@
     }
 }
 
+} // namespace
+
+RC_GTEST_PROP(BudgetLendingProperty, ABudgetIsKeptWhateverFails, (std::uint64_t seed))
+{
+    playLoopingPrograms(seed, TurnKinds::Both);
+}
+
+RC_GTEST_PROP(BudgetLendingProperty, ABudgetOfOneKindOfTurnsIsKeptWhateverFails,
+              (std::uint64_t seed))
+{
+    playLoopingPrograms(seed, TurnKinds::One);
+}
+
 } // namespace boragepath
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -341,19 +341,17 @@
 
 TEST(StoreCodec, DecodesRows)
 {
-    RowRevision version;
-    bool more = false;
-    const auto rows = decodeRows(
+    const auto response = decodeRows(
         R"({"rows":[{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x","ver":412},)"
         R"({"table":"my","part":"","key":"gone","ver":413,"deleted":true}],)"
-        R"("morePages":true,"ver":530,"nowMs":51230})",
-        version, more);
-    ASSERT_TRUE(rows.has_value());
-    EXPECT_EQ(rows->at(0).value, "node-1");
-    EXPECT_TRUE(rows->at(1).removed);
-    EXPECT_EQ(version, RowRevision(530));
-    EXPECT_TRUE(more);
-    EXPECT_FALSE(decodeRows("<html>", version, more).has_value());
+        R"("morePages":true,"ver":530,"nowMs":51230})");
+    ASSERT_TRUE(response.has_value());
+    EXPECT_EQ(response->rows.at(0).value, "node-1");
+    EXPECT_TRUE(response->rows.at(1).removed);
+    EXPECT_EQ(response->version, RowRevision(530));
+    EXPECT_EQ(response->storeTime, Milliseconds(51'230));
+    EXPECT_TRUE(response->more);
+    EXPECT_FALSE(decodeRows("<html>").has_value());
 }
 
 // --- Events ------------------------------------------------------------------
--- a/tests/support/lending_fleet.h
+++ b/tests/support/lending_fleet.h
@@ -207,6 +207,16 @@
         return reserve(vm, program, time, true);
     }
 
+    /** From now on a route in force stores turns; the lenders' promises are in the store. */
+    void storeTurns()
+    {
+        m_storesTurns = true;
+        for (const auto &vm : m_vms) {
+            vm->lenders.storeTurns();
+        }
+        timers.run(Seconds(3));
+    }
+
     void settle(std::size_t vm, const std::string &program, std::int64_t tokens)
     {
         m_vms[vm]->grants.settle({ProgramId(program), lastTurn, tokens});
@@ -284,12 +294,16 @@
         m_incarnations += 1;
         VmEntry self = vmEntry(number, m_incarnations);
         self.zone = ZoneId(absl::StrCat("zone-", number % m_zones));
-        return std::make_unique<LendingVm>(
+        auto vm = std::make_unique<LendingVm>(
             clock, timers, store, self, isFirstStart,
             [this, self](const Endpoint &to, const peers::LendingNote &note) {
                 send(self, to, note);
             },
             m_seed + m_incarnations);
+        if (m_storesTurns) {
+            vm->lenders.storeTurns();
+        }
+        return vm;
     }
 
     bool isCut(const VmEntry &vm) const { return cutOff.contains(vm.vm) || m_down.contains(vm.vm); }
@@ -335,6 +349,7 @@
     /** VMs that were killed and have not started again. */
     std::set<VmId> m_down;
     std::int64_t m_incarnations = 0;
+    bool m_storesTurns = false;
     int m_turns = 0;
     std::vector<std::unique_ptr<LendingVm>> m_vms;
     /** Processes that have ended; their timers still refer to them. */
--- a/tests/support/manual_timers.h
+++ b/tests/support/manual_timers.h
@@ -33,6 +33,12 @@
         m_clock.advance(end - m_clock.now());
     }
 
+    /** The clock of a store: milliseconds since the start of the machines. */
+    Milliseconds bootMillis() const
+    {
+        return std::chrono::duration_cast<Milliseconds>(m_clock.bootNow().time_since_epoch());
+    }
+
 private:
     ManualClock &m_clock;
     std::multimap<SteadyTime, std::function<void()>> m_tasks;
--- a/tests/support/memory_row_store.cpp
+++ b/tests/support/memory_row_store.cpp
@@ -48,7 +48,8 @@
     }
     const bool answered = !drawFault(m_faults.unanswered);
     m_timers.after(WriteLatency, [this, transaction, done, answered] {
-        const TransactionResult result = m_table.apply(transaction);
+        TransactionResult result = m_table.apply(transaction);
+        result.storeTime = m_timers.bootMillis();
         if (answered) {
             done(result);
         }
@@ -71,6 +72,7 @@
         if (!refused) {
             result.rows = m_table.range(range);
             result.version = m_table.version();
+            result.storeTime = m_timers.bootMillis();
         }
         done(result);
     });
@@ -89,6 +91,7 @@
         const auto changes = m_table.changes(request.table, request.after);
         result.answer = changes.has_value() ? StoreAnswer::Done : StoreAnswer::HistoryCompacted;
         result.version = m_table.version();
+        result.storeTime = m_timers.bootMillis();
         result.rows = changes.value_or(std::vector<StoreRow>());
         done(result);
     });
