--- a/control/budget_grants.cpp
+++ b/control/budget_grants.cpp
@@ -28,7 +28,7 @@
 {
     std::int64_t total = unsettled;
     for (const auto &[turn, active] : turns) {
-        total += active.maxTokens;
+        total += active.isInRow ? 0 : active.maxTokens;
     }
     return total;
 }
@@ -108,26 +108,44 @@
         // The caller has stopped waiting and reserved elsewhere.
         const WaitingRequest withdrawn = std::move(*waiting);
         grant.waiting.erase(waiting);
+        noteWithdrawn(grant, withdrawn);
         withdrawn.done(ReservationResult::StoreUnavailable);
         return;
     }
-    if (grant.turns.erase(settlement.turn) == 0) {
+    const auto turn = grant.turns.find(settlement.turn);
+    if (turn == grant.turns.end()) {
         return;
     }
-    grant.spent += settlement.tokens;
+    if (turn->second.isInRow) {
+        grant.ended[settlement.turn] = settlement.tokens;
+    } else {
+        grant.spent += settlement.tokens;
+    }
+    if (grant.exchanging && !turn->second.isInRow) {
+        grant.endedInExchange[settlement.turn] = settlement.tokens;
+    }
+    grant.turns.erase(turn);
     grant.lastUsed = m_clock.now();
     processQueue(settlement.program);
 }
 
+void BudgetGrants::noteWithdrawn(Grant &grant, const WaitingRequest &withdrawn)
+{
+    if (withdrawn.isInRow) {
+        grant.ended[withdrawn.request.turn] = 0;
+    }
+}
+
 void BudgetGrants::expireOverdue(Grant &grant)
 {
     const SteadyTime now = m_clock.now();
     for (auto turn = grant.turns.begin(); turn != grant.turns.end();) {
-        if (now < turn->second.overdueAt) {
+        if (now < turn->second.overdueAt || grant.exchanging) {
             ++turn;
             continue;
         }
-        grant.unsettled += turn->second.maxTokens;
+        // A reservation of its own stays in the row, for the VM that runs the turn to settle.
+        grant.unsettled += turn->second.isInRow ? 0 : turn->second.maxTokens;
         turn = grant.turns.erase(turn);
     }
     std::deque<WaitingRequest> late;
@@ -137,6 +155,7 @@
     }
     grant.waiting = std::move(inTime);
     for (WaitingRequest &item : late) {
+        noteWithdrawn(grant, item);
         item.done(ReservationResult::StoreUnavailable);
     }
 }
@@ -151,8 +170,9 @@
     expireOverdue(grant);
     while (!grant.waiting.empty()) {
         const ReservationRequest &request = grant.waiting.front().request;
-        const bool covered = !grant.exchanging && !grant.id.value().empty()
+        const bool fitsGrant = !grant.exchanging && !grant.id.value().empty()
             && grant.size - grant.spent - grant.uncertainTokens() >= request.maxTokens;
+        const bool covered = fitsGrant || grant.waiting.front().isInRow;
         const LoanPermission loan = covered ? LoanPermission::Denied : lend(program, grant);
         if (covered || loan == LoanPermission::Granted) {
             serveFirst(grant);
@@ -170,7 +190,7 @@
     WaitingRequest served = std::move(grant.waiting.front());
     grant.waiting.pop_front();
     grant.turns[served.request.turn] = {served.request.maxTokens,
-                                        served.deadline + SettlementMargin};
+                                        served.deadline + SettlementMargin, served.isInRow};
     grant.mayBorrow = grant.mayBorrow || served.request.mayBorrow;
     m_reservedLocally += 1;
     served.done(ReservationResult::Granted);
@@ -189,8 +209,8 @@
         // A successor that doesn't know what was lent may reserve the whole budget of such a one.
         return LoanPermission::Denied;
     }
-    const std::int64_t used =
-        m_ledger.committedBesides(program, grant.id) + grant.spent + grant.uncertainTokens();
+    const std::int64_t used = m_ledger.committedBesides(program, grant.id) + grant.spent
+        + grant.uncertainTokens() - unusedOfEnded(program, grant);
     // Whoever doesn't know of a loan may reserve the whole budget of a program without a row, and
     // that leaves the most of one turn.
     const std::optional<Duration> oneTurnLimit =
@@ -242,6 +262,16 @@
     return LoanPermission::Pending;
 }
 
+std::int64_t BudgetGrants::unusedOfEnded(const ProgramId &program, const Grant &grant) const
+{
+    std::int64_t unused = 0;
+    for (const auto &[turn, tokens] : grant.ended) {
+        const std::int64_t reserved = m_ledger.reservedFor(program, grantedTurnId(turn));
+        unused += std::max<std::int64_t>(0, reserved - tokens);
+    }
+    return unused;
+}
+
 void BudgetGrants::onLendingGranted()
 {
     std::vector<ProgramId> waiting;
@@ -274,7 +304,10 @@
                        [](const auto &item) { return item.second.hasLoan; });
 }
 
-/** Replaces the grant by one that covers the running turns and a few more. */
+/**
+ * Replaces the grant by one for a few more turns. The first waiting turn, and the turns under way
+ * that the grant had to cover, get reservations of their own in the row.
+ */
 void BudgetGrants::exchange(const ProgramId &program, Grant &grant)
 {
     const ReservationRequest &first = grant.waiting.front().request;
@@ -290,27 +323,76 @@
     request.mayBorrow = grant.mayBorrow || first.mayBorrow;
     request.replaces = grant.id;
     request.replacedSpent = grant.spent;
+    request.grantedTurns = turnsToGrant(grant);
+    request.grantedTurns.push_back({first.turn, first.maxTokens});
+    request.endedTurns = endedTurns(program, grant);
     grant.exchanging = true;
+    grant.endedInExchange.clear();
     // No deadline: reservations of running turns must not lose their cover during the exchange.
     m_ledger.reserve(request, SteadyTime::max(),
-                     [this, program, id = request.turn, spent = grant.spent](
-                         ReservationResult result) { onExchanged(program, id, spent, result); });
+                     [this, request](ReservationResult result) { onExchanged(request, result); });
 }
 
-void BudgetGrants::onExchanged(const ProgramId &program, const AttemptId &id,
-                               std::int64_t spentBefore, ReservationResult result)
+void BudgetGrants::onExchanged(const ReservationRequest &request, ReservationResult result)
 {
-    Grant &grant = m_grants[program];
+    Grant &grant = m_grants[request.program];
     grant.exchanging = false;
     if (result == ReservationResult::Granted) {
-        grant.id = id;
-        grant.size = m_ledger.reservedFor(program, id);
-        grant.spent -= spentBefore;
+        grant.id = request.turn;
+        grant.size = m_ledger.reservedFor(request.program, request.turn);
+        grant.spent -= request.replacedSpent;
+        for (const TurnSettlement &settled : request.endedTurns) {
+            std::erase_if(grant.ended, [&](const auto &item) {
+                return grantedTurnId(item.first) == settled.turn;
+            });
+        }
+        noteGrantedTurns(grant, request.grantedTurns);
         grant.hasLoan = grant.spent + grant.uncertainTokens() > grant.size;
     } else {
         refuseFirst(grant, result);
     }
-    processQueue(program);
+    processQueue(request.program);
+}
+
+void BudgetGrants::noteGrantedTurns(Grant &grant, const std::vector<GrantedTurn> &turns)
+{
+    for (const GrantedTurn &granted : turns) {
+        const auto running = grant.turns.find(granted.turn);
+        const auto waiting =
+            std::find_if(grant.waiting.begin(), grant.waiting.end(),
+                         [&](const auto &item) { return item.request.turn == granted.turn; });
+        if (running != grant.turns.end()) {
+            running->second.isInRow = true;
+        } else if (waiting != grant.waiting.end()) {
+            waiting->isInRow = true;
+        } else {
+            // It has ended, or its caller has stopped waiting.
+            const auto ended = grant.endedInExchange.find(granted.turn);
+            const std::int64_t tokens = ended == grant.endedInExchange.end() ? 0 : ended->second;
+            grant.spent -= tokens;
+            grant.ended[granted.turn] = tokens;
+        }
+    }
+}
+
+std::vector<GrantedTurn> BudgetGrants::turnsToGrant(const Grant &grant)
+{
+    std::vector<GrantedTurn> turns;
+    for (const auto &[turn, active] : grant.turns) {
+        if (!active.isInRow) {
+            turns.push_back({turn, active.maxTokens});
+        }
+    }
+    return turns;
+}
+
+std::vector<TurnSettlement> BudgetGrants::endedTurns(const ProgramId &program, const Grant &grant)
+{
+    std::vector<TurnSettlement> settlements;
+    for (const auto &[turn, tokens] : grant.ended) {
+        settlements.push_back({program, grantedTurnId(turn), tokens});
+    }
+    return settlements;
 }
 
 void BudgetGrants::refuseFirst(Grant &grant, ReservationResult result)
@@ -362,13 +444,17 @@
     if (grant.id.value().empty()) {
         return;
     }
+    const std::vector<TurnSettlement> ended = endedTurns(program, grant);
     const std::int64_t uncertainTokens = grant.uncertainTokens();
     if (uncertainTokens == 0 || grant.hasLoan) {
         // A loan counts as used where that is not known, since nothing in the row covers it.
+        for (const TurnSettlement &settlement : ended) {
+            m_ledger.settle(settlement);
+        }
         m_ledger.settle({program, grant.id, grant.spent + uncertainTokens});
         return;
     }
-    // A smaller grant, which nobody settles, keeps the tokens of turns that may have run.
+    // A smaller grant keeps the tokens of turns that may have run.
     ReservationRequest rest;
     rest.program = program;
     rest.turn = newGrantId();
@@ -376,6 +462,8 @@
     rest.maxTokens = uncertainTokens;
     rest.replaces = grant.id;
     rest.replacedSpent = grant.spent;
+    rest.grantedTurns = turnsToGrant(grant);
+    rest.endedTurns = ended;
     m_ledger.reserve(rest, SteadyTime::max(), [](ReservationResult) {});
 }
 
--- a/control/budget_grants.h
+++ b/control/budget_grants.h
@@ -81,6 +81,8 @@
         SteadyTime deadline;
         std::function<void(ReservationResult)> done;
         SteadyTime queuedAt;
+        /** The exchange has reserved its tokens in the row. */
+        bool isInRow = false;
     };
     /** The reservation of a running turn. */
     struct ActiveTurn
@@ -88,6 +90,8 @@
         std::int64_t maxTokens = 0;
         /** A turn that isn't settled by then counts as having used maxTokens. */
         SteadyTime overdueAt;
+        /** It has a reservation of its own in the row, so that the grant need not cover it. */
+        bool isInRow = false;
     };
     struct Grant
     {
@@ -106,13 +110,20 @@
         /** The most tokens of turns that have not been settled in time; they may have run. */
         std::int64_t unsettled = 0;
         std::map<AttemptId, ActiveTurn> turns;
+        /** Tokens of ended turns that have reservations of their own in the row. */
+        std::map<AttemptId, std::int64_t> ended;
+        /** Tokens, counted in @c spent, of turns that ended while the exchange reserved them. */
+        std::map<AttemptId, std::int64_t> endedInExchange;
         /** An exchange is in progress; no tokens are reserved from the grant until it is done. */
         bool exchanging = false;
         bool closeScheduled = false;
         std::deque<WaitingRequest> waiting;
         SteadyTime lastUsed;
 
-        /** What the grant must cover besides the tokens spent: turns that run or may have run. */
+        /**
+         * What the grant must cover besides the tokens spent: turns that run or may have run, but
+         * for those with reservations of their own.
+         */
         std::int64_t uncertainTokens() const;
     };
 
@@ -124,13 +135,21 @@
     LoanPermission lendLater(const ProgramId &program, Grant &grant,
                              std::optional<Duration> oneTurnLimit);
     void exchange(const ProgramId &program, Grant &grant);
-    void onExchanged(const ProgramId &program, const AttemptId &id, std::int64_t spentBefore,
-                     ReservationResult result);
+    void onExchanged(const ReservationRequest &request, ReservationResult result);
+    /** The turns under way that the grant covers. */
+    static std::vector<GrantedTurn> turnsToGrant(const Grant &grant);
+    static std::vector<TurnSettlement> endedTurns(const ProgramId &program, const Grant &grant);
+    /** Notes that the row has reservations for the turns of a grant. */
+    static void noteGrantedTurns(Grant &grant, const std::vector<GrantedTurn> &turns);
+    /** Tokens that @p grant has used less than the reservations of its ended turns. */
+    std::int64_t unusedOfEnded(const ProgramId &program, const Grant &grant) const;
     void refuseFirst(Grant &grant, ReservationResult result);
     /** True if turns that wait can have neither the store's answer soon nor a loan. */
     bool isStuck(const Grant &grant) const;
     /** Refuses a turn that still waits, if that is in vain. */
     void refuseIfStuck(const ProgramId &program, const AttemptId &turn);
+    /** A turn that doesn't run releases the reservation that the row has for it. */
+    static void noteWithdrawn(Grant &grant, const WaitingRequest &withdrawn);
     void expireOverdue(Grant &grant);
     void scheduleClose(const ProgramId &program, Grant &grant);
     void closeIfIdle(const ProgramId &program);
--- a/control/ledger_relay.cpp
+++ b/control/ledger_relay.cpp
@@ -15,6 +15,11 @@
 /** First delay before a settlement is sent again; doubles up to MaxRetryDelay. */
 constexpr Milliseconds FirstRetryDelay{150};
 constexpr Milliseconds MaxRetryDelay{1'200};
+/** The holder of a grant has written what it has acknowledged by then, unless the store is away. */
+constexpr Milliseconds AcknowledgedLifetime{30'000};
+constexpr Milliseconds AcknowledgedCheckInterval{500};
+/** Of one holder; each takes some 150 bytes. */
+constexpr std::size_t MaxAcknowledged = 1'000;
 /** Programs whose prompt locations are remembered; each takes about 300 bytes. */
 constexpr std::size_t MaxLocations = 3'000;
 
@@ -74,7 +79,8 @@
         return;
     }
     const std::int64_t id = m_nextId++;
-    m_pendingRequests[id] = {request, deadline, std::move(done), *coordinator, false};
+    const GrantHolder holder{*coordinator, m_vms.incarnationAt(*coordinator)};
+    m_pendingRequests[id] = {request, deadline, std::move(done), holder, false};
     peers::LedgerNote note = makeNote(id, peers::LedgerNoteKind::RESERVE);
     note.program = request.program.value();
     note.turn = request.turn.value();
@@ -139,7 +145,56 @@
     }
 }
 
-void LedgerRelay::queueSettlement(const Endpoint &to, const TurnSettlement &settlement,
+bool LedgerRelay::isLost(const GrantHolder &holder) const
+{
+    return m_vms.isReplaced(holder.incarnation) || !m_vms.isLiveAt(holder.address);
+}
+
+void LedgerRelay::settleInRow(TurnSettlement settlement, bool mayBeSettled)
+{
+    settlement.turn = grantedTurnId(settlement.turn);
+    settlement.mayBeSettled = mayBeSettled;
+    m_ledger.settle(settlement);
+}
+
+void LedgerRelay::keepAcknowledged(const PendingSettlement &settlement)
+{
+    if (settlement.to.incarnation.empty()) {
+        return;
+    }
+    if (m_acknowledged.empty()) {
+        m_timers.after(AcknowledgedCheckInterval, [this] { checkAcknowledged(); });
+    }
+    std::deque<AcknowledgedSettlement> &kept = m_acknowledged[settlement.to.incarnation];
+    const peers::LedgerNote &note = settlement.note;
+    kept.push_back({{ProgramId(note.program), AttemptId(note.turn), note.tokens}, m_clock.now()});
+    if (kept.size() > MaxAcknowledged) {
+        kept.pop_front();
+    }
+}
+
+void LedgerRelay::checkAcknowledged()
+{
+    const SteadyTime now = m_clock.now();
+    for (auto holder = m_acknowledged.begin(); holder != m_acknowledged.end();) {
+        std::deque<AcknowledgedSettlement> &kept = holder->second;
+        while (!kept.empty() && now >= kept.front().at + AcknowledgedLifetime) {
+            kept.pop_front();
+        }
+        if (!m_vms.findLive(holder->first).has_value()) {
+            for (const AcknowledgedSettlement &item : kept) {
+                settleInRow(item.settlement, true);
+            }
+            kept.clear();
+        }
+        holder = kept.empty() ? m_acknowledged.erase(holder) : std::next(holder);
+    }
+    if (!m_acknowledged.empty()) {
+        m_timers.after(AcknowledgedCheckInterval, [this] { checkAcknowledged(); });
+    }
+}
+
+void LedgerRelay::queueSettlement(const GrantHolder &to, const TurnSettlement &settlement,
                                   const PromptLocation &location)
 {
     const std::int64_t id = m_nextId++;
@@ -160,12 +215,14 @@
         return;
     }
     PendingSettlement &settlement = found->second;
-    if (settlement.attempts > 0 && !m_vms.isLiveAt(settlement.to)) {
-        // The grant of the failed VM stays in the row and counts as spent.
+    const bool isReplaced = m_vms.isReplaced(settlement.to.incarnation);
+    if (isReplaced || (settlement.attempts > 0 && isLost(settlement.to))) {
+        const peers::LedgerNote note = std::move(settlement.note);
         m_settlements.erase(found);
+        settleInRow({ProgramId(note.program), AttemptId(note.turn), note.tokens}, false);
         return;
     }
-    m_send(settlement.to, settlement.note);
+    m_send(settlement.to.address, settlement.note);
     const Milliseconds pause = std::min<Milliseconds>(
         FirstRetryDelay * (1 << std::min(settlement.attempts, 3)), MaxRetryDelay);
     settlement.attempts += 1;
@@ -216,7 +273,10 @@
 
 void LedgerRelay::handleAnswer(const peers::LedgerNote &note)
 {
-    if (m_settlements.erase(note.id) > 0) {
+    const auto settlement = m_settlements.find(note.id);
+    if (settlement != m_settlements.end()) {
+        keepAcknowledged(settlement->second);
+        m_settlements.erase(settlement);
         return;
     }
     const auto found = m_pendingRequests.find(note.id);
--- a/control/ledger_relay.h
+++ b/control/ledger_relay.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -35,7 +36,9 @@
  * has read the program's prompt. The coordinator owns no state of its own: its grant
  * is in the row in the store, and if it does not answer, this VM reserves in that
  * row directly. The tokens that a turn used are sent to the VM that reserved them,
- * with retries as long as that VM is alive; the grant of a failed VM counts as spent.
+ * with retries as long as that VM is alive. If it is lost, or is lost before it can have
+ * written them, this VM settles the reservation that the row has for the turn. What the grant of a
+ * lost VM held besides counts as spent.
  */
 class LedgerRelay
 {
@@ -67,13 +70,20 @@
     std::uint64_t localFallbacks() const { return m_localFallbacks; }
 
 private:
+    /** A VM that reserves tokens from its grant for others. */
+    struct GrantHolder
+    {
+        Endpoint address;
+        /** Name of its incarnation; empty if it was not known. */
+        std::string incarnation;
+    };
     /** A reservation that was requested from a coordinator. */
     struct PendingRequest
     {
         ReservationRequest request;
         SteadyTime deadline;
         ReserveCallback done;
-        Endpoint coordinator;
+        GrantHolder coordinator;
         /** The coordinator has acknowledged the request and is processing it. */
         bool acknowledged = false;
     };
@@ -81,21 +91,34 @@
     struct ReservationHolder
     {
         /** The coordinator that reserved them, or empty if this VM did. */
-        std::optional<Endpoint> vm;
+        std::optional<GrantHolder> vm;
         /** This VM reserved them in the row, since the coordinator did not answer. */
         bool reservedInStore = false;
     };
     struct PendingSettlement
     {
-        Endpoint to;
+        GrantHolder to;
         peers::LedgerNote note;
         int attempts = 0;
     };
+    /** A settlement that the holder of the grant has acknowledged and may not have written yet. */
+    struct AcknowledgedSettlement
+    {
+        TurnSettlement settlement;
+        SteadyTime at;
+    };
 
     /** The VM that coordinates a program; nothing if it is this VM. */
     std::optional<Endpoint> coordinatorFor(const ProgramId &program) const;
     void fallBackToStore(std::int64_t id);
-    void queueSettlement(const Endpoint &to, const TurnSettlement &settlement,
+    /** True if the holder of a grant has ended, or can't be heard. */
+    bool isLost(const GrantHolder &holder) const;
+    /** Settles the reservation that the row has for a turn whose grant's holder is lost. */
+    void settleInRow(TurnSettlement settlement, bool mayBeSettled);
+    void keepAcknowledged(const PendingSettlement &settlement);
+    /** Settles what lost holders acknowledged, and forgets what the others have written. */
+    void checkAcknowledged();
+    void queueSettlement(const GrantHolder &to, const TurnSettlement &settlement,
                          const PromptLocation &location);
     void sendSettlement(std::int64_t id);
     void handleReserve(const Endpoint &from, const peers::LedgerNote &note);
@@ -115,6 +138,8 @@
     std::map<std::int64_t, PendingRequest> m_pendingRequests;
     std::map<std::int64_t, PendingSettlement> m_settlements;
     std::map<AttemptId, ReservationHolder> m_holders;
+    /** By the incarnations of the holders, oldest first. */
+    std::map<std::string, std::deque<AcknowledgedSettlement>> m_acknowledged;
     std::int64_t m_nextId = 1;
     std::atomic<std::uint64_t> m_forwardedRequests = 0;
     std::atomic<std::uint64_t> m_localFallbacks = 0;
--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -55,13 +55,35 @@
     }
     const std::int64_t forLater =
         std::max<std::int64_t>(0, left - request.minTokens) / StoredTurnsGrantDivisor;
-    return std::min(request.minTokens + forLater, request.maxTokens);
+    // Less than a whole turn would be withheld in vain.
+    const std::int64_t maxTurnTokens = std::max<std::int64_t>(1, request.maxTurnTokens);
+    const std::int64_t wholeTurns = forLater / maxTurnTokens * maxTurnTokens;
+    return std::min(request.minTokens + wholeTurns, request.maxTokens);
+}
+
+/** Divides @p tokens of a grant between its turns and the rest, which later turns may use. */
+void addGrant(ProgramRecord &record, const ReservationRequest &request, std::int64_t tokens,
+              bool isRestricted)
+{
+    std::int64_t rest = tokens;
+    for (const GrantedTurn &turn : request.grantedTurns) {
+        const AttemptId id = grantedTurnId(turn.turn);
+        record.reserved[id] = turn.maxTokens;
+        rest -= turn.maxTokens;
+        if (isRestricted) {
+            record.restricted.insert(id);
+        }
+    }
+    record.reserved[request.turn] = rest;
+    if (isRestricted) {
+        record.restricted.insert(request.turn);
+    }
 }
 
 /** Tokens of a settlement that the row has no reservation for. */
 std::int64_t unreservedTokens(const TurnSettlement &settlement, const ProgramRecord &record)
 {
-    if (isSettled(record, settlement.turn)) {
+    if (isSettled(record, settlement.turn) || isGrantedTurnId(settlement.turn)) {
         return 0;
     }
     const auto reserved = record.reserved.find(settlement.turn);
@@ -110,6 +132,9 @@
     change.deadline = SteadyTime::max();
     change.queuedAt = m_clock.now();
     Program &program = m_programs[settlement.program];
+    if (settlement.mayBeSettled && !program.busy) {
+        program.fresh = false;
+    }
     program.queue.push_back(std::move(change));
     m_pending += 1;
     if (!program.busy) {
@@ -349,6 +374,9 @@
     if (isSettled(record, turn)) {
         return ChangeAction::AlreadyApplied;
     }
+    if (change.settles && change.settlement.mayBeSettled && !record.reserved.contains(turn)) {
+        return program.fresh ? ChangeAction::AlreadyApplied : ChangeAction::NeedsRead;
+    }
     if (change.settles) {
         // Written even if the row has no reservation for the turn: the new version makes a
         // reservation fail that is still on its way to the store.
@@ -363,19 +391,23 @@
     if (!request.replaces.value().empty() && !isSettled(changed, request.replaces)) {
         settleTurn(changed, request.replaces, request.replacedSpent);
     }
+    for (const TurnSettlement &ended : request.endedTurns) {
+        if (changed.reserved.contains(ended.turn)) {
+            settleTurn(changed, ended.turn, ended.tokens);
+        }
+    }
     const std::int64_t needed = request.minTokens > 0 ? request.minTokens : request.maxTokens;
     const bool restricted = isRestricted(request, changed);
     const std::int64_t left = tokensLeft(request, changed, restricted);
     const std::int64_t tokens = tokensToReserve(request, left);
-    if (tokens <= left && reserveTurn(changed, turn, tokens, request.budget)) {
+    if (tokens <= left && committedTokens(changed) + tokens <= request.budget) {
         // The lender of a program without a row may have lent to it, which a restricted VM can't
         // know.
         const bool mayHaveBorrowed = restricted && record.turns == ProgramTurns::None;
         noteTurn(changed, request.mayBorrow || mayHaveBorrowed);
         // What replaces a reservation of a restricted VM may cover turns that this one allowed.
-        if (restricted || record.restricted.contains(request.replaces)) {
-            changed.restricted.insert(turn);
-        }
+        const bool staysRestricted = restricted || record.restricted.contains(request.replaces);
+        addGrant(changed, request, tokens, staysRestricted);
         record = std::move(changed);
         return ChangeAction::Write;
     }
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -27,6 +27,26 @@
 /** The budget of a program that states none. */
 inline constexpr std::int64_t NoTokenBudget = std::numeric_limits<std::int64_t>::max();
 
+/** The tokens that one turn generated. Replaces its reservation. */
+struct TurnSettlement
+{
+    ProgramId program;
+    AttemptId turn;
+    std::int64_t tokens = 0;
+    /**
+     * The holder of the grant that the turn was reserved from may have settled it already, so that
+     * nothing is written if the row has no reservation for it.
+     */
+    bool mayBeSettled = false;
+};
+
+/** A part of a grant that is reserved for one turn. */
+struct GrantedTurn
+{
+    AttemptId turn;
+    std::int64_t maxTokens = 0;
+};
+
 /** Asks to reserve tokens of a program's budget for one turn, or for a grant. */
 struct ReservationRequest
 {
@@ -54,6 +74,10 @@
     std::int64_t maxTurnTokens = 0;
     /** The turn can end without the store, so that its tokens may be lent. */
     bool mayBorrow = false;
+    /** For a grant: the turns that get reservations of their own, of the tokens of the grant. */
+    std::vector<GrantedTurn> grantedTurns;
+    /** For a grant: turns with such reservations that have ended, under their ids in the row. */
+    std::vector<TurnSettlement> endedTurns;
 };
 
 /** How much of a program's budget a VM may reserve. */
@@ -67,14 +91,6 @@
     Whole,
 };
 
-/** The tokens that one turn generated. Replaces its reservation. */
-struct TurnSettlement
-{
-    ProgramId program;
-    AttemptId turn;
-    std::int64_t tokens = 0;
-};
-
 /**
  * Keeps the token budgets of programs in the store, whichever VM serves a turn.
  *
--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -18,6 +18,8 @@
 
 /** The space keeps grant ids apart from turn ids: an id that can be a row key has no spaces. */
 constexpr const char *GrantPrefix = "grant ";
+/** Earlier versions take it for a grant, of which they don't know how much is used either. */
+constexpr const char *GrantedTurnPrefix = "grant turn ";
 constexpr const char *LoanPrefix = "loan ";
 constexpr const char *OwnReservationSuffix = "/own";
 
@@ -63,6 +65,10 @@
         record.spent += tokens;
         record.restrictedSpent += record.restricted.erase(turn) > 0 ? tokens : 0;
     }
+    if (isGrantedTurnId(turn)) {
+        // Settling it once more changes nothing, so that it need not be remembered.
+        return;
+    }
     record.settled.push_back(turn);
     if (record.settled.size() > MaxSettledTurns) {
         record.settled.erase(record.settled.begin());
@@ -122,6 +128,16 @@
     return AttemptId(GrantPrefix + holder);
 }
 
+AttemptId grantedTurnId(const AttemptId &turn)
+{
+    return AttemptId(GrantedTurnPrefix + turn.value());
+}
+
+bool isGrantedTurnId(const AttemptId &id)
+{
+    return absl::StartsWith(id.value(), GrantedTurnPrefix);
+}
+
 std::string encodeProgramRecord(const ProgramRecord &record)
 {
     json::object reserved;
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -73,6 +73,14 @@
  * coordinator for one in vain. */
 AttemptId ownReservationId(const AttemptId &turn);
 
+/**
+ * The id of the part of a grant that is reserved for one turn. The VM that runs the turn can settle
+ * it if the holder of the grant is lost.
+ */
+AttemptId grantedTurnId(const AttemptId &turn);
+/** True if an id in a record is one of grantedTurnId(). */
+bool isGrantedTurnId(const AttemptId &id);
+
 std::string encodeProgramRecord(const ProgramRecord &record);
 /** Empty if @p text is not a valid record. */
 std::optional<ProgramRecord> decodeProgramRecord(const std::string &text);
--- a/control/vm_directory.cpp
+++ b/control/vm_directory.cpp
@@ -429,6 +429,13 @@
     return randomItem(candidates, m_random);
 }
 
+std::string VmDirectory::incarnationAt(const Endpoint &peers) const
+{
+    const auto found = std::find_if(m_others.begin(), m_others.end(),
+                                    [&](const auto &item) { return item.second.peers == peers; });
+    return found == m_others.end() ? std::string() : incarnationName(found->second);
+}
+
 bool VmDirectory::isLiveAt(const Endpoint &peers) const
 {
     return std::any_of(m_others.begin(), m_others.end(), [&](const auto &item) {
--- a/control/vm_directory.h
+++ b/control/vm_directory.h
@@ -136,6 +136,8 @@
     std::size_t liveCount() const;
     /** Live VMs, this one included, as a part of those among which limits are divided. */
     double shareInSight() const;
+    /** Name of the incarnation of another VM at this address for datagrams; empty if unknown. */
+    std::string incarnationAt(const Endpoint &peers) const;
     /** True if the VM whose address for datagrams is @p peers is live. */
     bool isLiveAt(const Endpoint &peers) const;
     /** True if the VM @p vm is live. */
--- a/tests/control/ledger_relay_test.cpp
+++ b/tests/control/ledger_relay_test.cpp
@@ -18,6 +18,40 @@
 constexpr Milliseconds DatagramDelay{2};
 constexpr Seconds RequestTimeout{2};
 
+/** The store as a process reaches it until it is killed; calls on their way still arrive. */
+class ProcessStore final : public RowStore
+{
+public:
+    explicit ProcessStore(RowStore &store)
+        : m_store(store)
+    { }
+
+    void transact(RowTransaction transaction,
+                  std::function<void(const TransactionResult &)> done) override
+    {
+        if (!hasEnded) {
+            m_store.transact(std::move(transaction), std::move(done));
+        }
+    }
+    void read(RowRange range, std::function<void(const ReadResult &)> done) override
+    {
+        if (!hasEnded) {
+            m_store.read(std::move(range), std::move(done));
+        }
+    }
+    void feed(FeedRequest request, std::function<void(const ReadResult &)> done) override
+    {
+        if (!hasEnded) {
+            m_store.feed(std::move(request), std::move(done));
+        }
+    }
+
+    bool hasEnded = false;
+
+private:
+    RowStore &m_store;
+};
+
 /** VMs that know each other, share one store and exchange datagrams. */
 class RelayFleet
 {
@@ -55,6 +89,7 @@
     /** Kills the process of a VM and starts a new one at the same address. */
     void restart(std::size_t vm)
     {
+        vms[vm]->store.hasEnded = true;
         // The old process is kept, since its timers and pending store calls still refer to it.
         m_endedVms.push_back(std::move(vms[vm]));
         addVm(vm, 100 + m_endedVms.size());
@@ -80,7 +115,8 @@
     {
         Vm(RelayFleet &fleet, VmEntry entry, std::uint64_t seed)
             : health(fleet.clock)
-            , ledger(fleet.clock, fleet.timers, fleet.store, health, seed)
+            , store(fleet.store)
+            , ledger(fleet.clock, fleet.timers, store, health, seed)
             , directory(fleet.clock, entry, seed)
             , grants(fleet.clock, fleet.timers, ledger, health,
                      absl::StrCat(entry.vm.value(), "/", entry.incarnation))
@@ -94,6 +130,7 @@
         { }
 
         StoreHealth health;
+        ProcessStore store;
         ProgramLedger ledger;
         VmDirectory directory;
         BudgetGrants grants;
@@ -287,6 +324,93 @@
     }
 }
 
+/**
+ * The grant of a killed VM withheld the most of all turns that ran at other VMs, and what had ended
+ * since its last write, so that programs were refused with much of their budgets left.
+ */
+TEST(LedgerRelay, ALostCoordinatorWithholdsNothingOfTurnsOfOtherVms)
+{
+    constexpr std::int64_t Budget = 4'640;
+    constexpr std::int64_t MaxTokens = 580;
+    constexpr std::int64_t UsedTokens = 260;
+    constexpr int Turns = 4;
+    // Before the turns end, between their ends and the write that settles them, and after that.
+    for (const Milliseconds killAfter : {Milliseconds(-1), Milliseconds(30), Milliseconds(300)}) {
+        SCOPED_TRACE(killAfter.count());
+        RelayFleet fleet(5);
+        fleet.storesTurns = true;
+        std::vector<std::size_t> others;
+        std::size_t coordinator = 0;
+        for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+            if (fleet.vms[vm]->directory.coordinatorFor("program").has_value()) {
+                others.push_back(vm);
+            } else {
+                coordinator = vm;
+            }
+        }
+        int granted = 0;
+        for (int turn = 0; turn < Turns; ++turn) {
+            fleet.reserve(others[static_cast<std::size_t>(turn)], absl::StrCat("turn-", turn),
+                          Budget, MaxTokens, [&](ReservationResult result) {
+                              granted += result == ReservationResult::Granted ? 1 : 0;
+                          });
+        }
+        fleet.timers.run(Milliseconds(150));
+        ASSERT_EQ(granted, Turns);
+        if (killAfter < Milliseconds(0)) {
+            fleet.restart(coordinator);
+        }
+        for (int turn = 0; turn < Turns; ++turn) {
+            fleet.settle(others[static_cast<std::size_t>(turn)], absl::StrCat("turn-", turn),
+                         UsedTokens);
+        }
+        if (killAfter >= Milliseconds(0)) {
+            fleet.timers.run(killAfter);
+            fleet.restart(coordinator);
+        }
+        fleet.timers.run(Seconds(7));
+        // The rest is what the lost grant held for later turns.
+        const std::int64_t forLater = (Budget - Turns * MaxTokens) / 8;
+        EXPECT_GE(committedTokens(fleet.record()), Turns * UsedTokens);
+        EXPECT_LE(committedTokens(fleet.record()), Turns * UsedTokens + forLater);
+    }
+}
+
+/** A coordinator that was cut off for a while goes on with turns that their VMs have settled. */
+TEST(LedgerRelay, ACoordinatorThatComesBackCountsTurnsOnce)
+{
+    constexpr std::int64_t Budget = 4'640;
+    constexpr std::int64_t MaxTokens = 580;
+    RelayFleet fleet(3);
+    fleet.storesTurns = true;
+    std::size_t coordinator = 0;
+    while (fleet.vms[coordinator]->directory.coordinatorFor("program").has_value()) {
+        coordinator += 1;
+    }
+    const std::size_t other = (coordinator + 1) % 3;
+    int granted = 0;
+    const auto reserve = [&](std::size_t vm, const std::string &turn) {
+        fleet.reserve(vm, turn, Budget, MaxTokens, [&](ReservationResult result) {
+            granted += result == ReservationResult::Granted ? 1 : 0;
+        });
+        fleet.timers.run(Milliseconds(100));
+    };
+    reserve(other, "turn-0");
+    fleet.unreachable.insert(fleet.vms[coordinator]->directory.self().peers);
+    fleet.settle(other, "turn-0", 200);
+    // It runs a turn of its own meanwhile, which it reserves in the row.
+    reserve(coordinator, "turn-1");
+    fleet.timers.run(Seconds(5));
+    fleet.unreachable.clear();
+    fleet.settle(coordinator, "turn-1", 300);
+    reserve(other, "turn-2");
+    fleet.settle(other, "turn-2", 100);
+    fleet.timers.run(Seconds(30));
+    EXPECT_EQ(granted, 3);
+    EXPECT_EQ(fleet.record().spent, 600);
+    EXPECT_EQ(committedTokens(fleet.record()), 600);
+}
+
 /** A VM that stops as planned no longer hears what became of the turns that it reserved for. */
 TEST(LedgerRelay, PlannedStopOfTheCoordinatorDoesNotSpendTheTokensOfTurnsThatMayNotRun)
 {
