--- a/control/call_scheduler.cpp
+++ b/control/call_scheduler.cpp
@@ -170,6 +170,7 @@
         return CallRefusalReason::KeysUnconfirmed;
     }
     call.organisation = authorization.organisation;
+    call.incoming.identity = ofCaller(call.incoming.identity, organisationOf(call).value());
     call.service = chooseService(*call.route, programOf(call).value());
     return std::nullopt;
 }
--- a/core/request_fingerprint.cpp
+++ b/core/request_fingerprint.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <openssl/evp.h>
 #include <openssl/sha.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <cstring>
@@ -22,8 +23,24 @@
     return absl::SimpleHexAtoi(std::string(digits), &half);
 }
 
+/** A caller can't choose the result, since the fingerprint depends on the deployment's secret. */
+RequestFingerprint ofCaller(const RequestFingerprint &fingerprint, std::string_view caller)
+{
+    const std::string input = absl::StrCat(fingerprint.text(), " ", std::string(caller));
+    const XXH128_hash_t hash = XXH3_128bits(input.data(), input.size());
+    return {hash.high64, hash.low64};
+}
+
 } // namespace
 
+RequestIdentity ofCaller(const RequestIdentity &identity, std::string_view caller)
+{
+    if (caller.empty()) {
+        return identity;
+    }
+    return {ofCaller(identity.request, caller), ofCaller(identity.target, caller)};
+}
+
 std::string RequestFingerprint::text() const
 {
     return absl::StrCat(absl::Hex(high, absl::kZeroPad16), absl::Hex(low, absl::kZeroPad16));
--- a/core/request_fingerprint.h
+++ b/core/request_fingerprint.h
@@ -10,9 +10,9 @@
 namespace boragepath {
 
 /**
- * Identifies requests that ask for the same thing, whoever sends them and under whatever attempt
- * id. Two different requests have the same fingerprint with a negligible probability, and nobody
- * who doesn't know the deployment's secret can make them so.
+ * Identifies requests that ask for the same thing, under whatever attempt id. Two different
+ * requests have the same fingerprint with a negligible probability, and nobody who doesn't know the
+ * deployment's secret can make them so.
  */
 struct RequestFingerprint
 {
@@ -35,12 +35,20 @@
  */
 struct RequestIdentity
 {
-    /** Of method, host, target, previous turn and body. */
+    /** Of method, host, target, previous turn and body, and the caller if known. */
     RequestFingerprint request;
-    /** Of method, host and target. */
+    /** Of method, host and target, and the caller if known. */
     RequestFingerprint target;
 };
 
+/**
+ * The identity of a request that @p caller sends; the same as before if nobody knows the caller.
+ *
+ * A request may end the replicas that run it for one caller, and be answered for others. VMs of
+ * earlier versions, whose fingerprints have no caller, match none of these.
+ */
+RequestIdentity ofCaller(const RequestIdentity &identity, std::string_view caller);
+
 /** Reads what RequestFingerprint::text() has written; a fingerprint that is not known on error. */
 RequestFingerprint parseRequestFingerprint(std::string_view text);
 
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -112,4 +112,46 @@
     EXPECT_EQ(endedReplicas(), MaxEndedReplicas);
 }
 
+// Answers to the same request of other organisations cleared the evidence against one under which
+// replica after replica ended, so that it was never held back.
+TEST_F(CrashingRequestTest, ARequestThatEndsReplicasForOneOrganisationIsHeldBackForThatOneAlone)
+{
+    configureOrganisations(10, R"([{"name":"red","apiKeys":["key-red"]},
+                                   {"name":"blue","apiKeys":["key-blue"]},
+                                   {"name":"green","apiKeys":["key-green"]}])");
+    m_lease.setTerm(Seconds(60));
+    m_lease.confirm(m_clock.bootNow());
+    addReplicas([](const std::string &head, const std::string &) {
+        return fieldOf(head, "Tenant") == "red" ? ReplicaScript{"", false, true}
+                                                : ReplicaScript{completeResponse(head, "served")};
+    });
+    const auto send = [&](const std::string &organisation, const std::string &body) {
+        m_requests += 1;
+        return exchange(callRequest("/look/x", absl::StrCat("call-", m_requests), body,
+                                    "Credential: key-" + organisation + "\r\n"),
+                        "\r\n\r\n");
+    };
+    for (int attempt = 0; attempt < 8; ++attempt) {
+        for (const std::string other : {"blue", "green"}) {
+            EXPECT_THAT(send(other, "status"), testing::StartsWith("HTTP/1.1 200")) << attempt;
+        }
+        send("red", "status");
+    }
+    EXPECT_LE(endedReplicas(), MaxEndedReplicas);
+}
+
+// Without API keys nobody can tell callers apart: the request with its body is held back, and other
+// requests to its target, which are answered, are not.
+TEST_F(CrashingRequestTest, WithoutOrganisationsOtherRequestsToTheTargetAreServed)
+{
+    addReplicas(endOnCrashingBody);
+    for (int attempt = 0; attempt < 8; ++attempt) {
+        for (const std::string body : {"one", "two", "three"}) {
+            EXPECT_THAT(request("/look/x", body), testing::StartsWith("HTTP/1.1 200")) << attempt;
+        }
+        request("/look/x", CrashingBody);
+    }
+    EXPECT_LE(endedReplicas(), MaxEndedReplicas);
+}
+
 } // namespace boragepath::platform
