A program's first row may be unconfirmed; the next lender confirms it

Cause: a restricted VM that wrote the first row of a program noted that it may have borrowed, which nobody could take back.

Change: it notes that this is not known. A VM that can tell, since the lender kept its promise or it is the lender itself, clears the note when it reserves for a stored turn. Nothing is lent meanwhile.

Evidence: AProgramThatBeginsBeforeTheLostLendersAreReplacedHasItsWholeBudgetLater.

--- a/control/program_ledger.cpp
+++ b/control/program_ledger.cpp
@@ -194,7 +194,11 @@
 bool ProgramLedger::hasOnlyStoredTurns(const ProgramId &program) const
 {
     const auto found = m_programs.find(program);
-    return found != m_programs.end() && found->second.record.turns == ProgramTurns::StoredOnly;
+    if (found == m_programs.end()) {
+        return false;
+    }
+    const ProgramTurns turns = found->second.record.turns;
+    return turns == ProgramTurns::StoredOnly || turns == ProgramTurns::StoredUnconfirmed;
 }
 
 bool ProgramLedger::hasTurnsThatBorrow(const ProgramId &program) const
@@ -401,10 +405,7 @@
     const std::int64_t left = tokensLeft(request, changed, restricted);
     const std::int64_t tokens = tokensToReserve(request, left);
     if (tokens <= left && committedTokens(changed) + tokens <= request.budget) {
-        // The lender of a program without a row may have lent to it, which a restricted VM can't
-        // know.
-        const bool mayHaveBorrowed = restricted && record.turns == ProgramTurns::None;
-        noteTurn(changed, request.mayBorrow || mayHaveBorrowed);
+        noteTurn(changed, request.mayBorrow, !restricted);
         // What replaces a reservation of a restricted VM may cover turns that this one allowed.
         const bool staysRestricted = restricted || record.restricted.contains(request.replaces);
         addGrant(changed, request, tokens, staysRestricted);
--- a/control/program_record.cpp
+++ b/control/program_record.cpp
@@ -25,12 +25,13 @@
 
 constexpr const char *TurnsField = "turns";
 /** Rows of earlier versions lack the field, so that their programs may have had any turns. */
-constexpr const char *TurnNames[] = {"none", "stored", "any"};
+constexpr const char *TurnNames[] = {"none", "stored", "stored-unconfirmed", "any"};
 
 ProgramTurns programTurnsOf(const json::object &row)
 {
     const std::string text = stringAt(row, TurnsField);
-    for (const ProgramTurns turns : {ProgramTurns::None, ProgramTurns::StoredOnly}) {
+    for (const ProgramTurns turns :
+         {ProgramTurns::None, ProgramTurns::StoredOnly, ProgramTurns::StoredUnconfirmed}) {
         if (text == TurnNames[static_cast<std::size_t>(turns)]) {
             return turns;
         }
@@ -75,12 +76,14 @@
     }
 }
 
-void noteTurn(ProgramRecord &record, bool mayBorrow)
+void noteTurn(ProgramRecord &record, bool mayBorrow, bool knowsLoans)
 {
     if (mayBorrow) {
         record.turns = ProgramTurns::Any;
-    } else if (record.turns == ProgramTurns::None) {
+    } else if (knowsLoans && record.turns != ProgramTurns::Any) {
         record.turns = ProgramTurns::StoredOnly;
+    } else if (record.turns == ProgramTurns::None) {
+        record.turns = ProgramTurns::StoredUnconfirmed;
     }
 }
 
--- a/control/program_record.h
+++ b/control/program_record.h
@@ -17,6 +17,11 @@
     None,
     /** Turns that the store keeps, which don't end without it and are never lent for. */
     StoredOnly,
+    /**
+     * The same since the first row of the program, which was written by a VM that could not know
+     * what the lender had lent before. Earlier versions read it as Any.
+     */
+    StoredUnconfirmed,
     /** Also turns that a VM may have lent for, or of which that is not known. */
     Any,
 };
@@ -50,8 +55,11 @@
  * tokens of a loan, which has no reservation.
  */
 void settleTurn(ProgramRecord &record, const AttemptId &turn, std::int64_t tokens);
-/** Notes that tokens are reserved for a turn of one kind. */
-void noteTurn(ProgramRecord &record, bool mayBorrow);
+/**
+ * Notes that tokens are reserved for a turn of one kind.
+ * @param knowsLoans this VM can tell that at most one turn was lent to a program without a row.
+ */
+void noteTurn(ProgramRecord &record, bool mayBorrow, bool knowsLoans = true);
 /** True if the turn is among the most recently settled ones. */
 bool isSettled(const ProgramRecord &record, const AttemptId &turn);
 /** Sum of spent and reserved tokens. */
--- a/tests/control/stored_turn_budgets_test.cpp
+++ b/tests/control/stored_turn_budgets_test.cpp
@@ -253,4 +253,22 @@
     }
 }
 
+// A program that began while nobody had replaced the lost lenders had half of its budget for good.
+TEST(LendingPromises, AProgramThatBeginsBeforeTheLostLendersAreReplacedHasItsWholeBudgetLater)
+{
+    LendingFleet fleet(3);
+    fleet.storeTurns();
+    fleet.crashTogether({0, 1, 2}, Seconds(1));
+    EXPECT_EQ(fleet.reserveStored(0, "p"), ReservationResult::Granted);
+    fleet.settle(0, "p", 500);
+    EXPECT_EQ(fleet.record("p").turns, ProgramTurns::StoredUnconfirmed);
+    fleet.timers.run(Seconds(12));
+    const std::size_t lender = fleet.currentLenderOf("p");
+    ASSERT_LT(lender, fleet.size());
+    for (const std::int64_t used : {500, 200, 500}) {
+        EXPECT_EQ(fleet.reserveStored(lender, "p"), ReservationResult::Granted);
+        fleet.settle(lender, "p", used);
+    }
+}
+
 } // namespace boragepath
