--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -42,6 +42,8 @@
 /** Fractions of all programs, or of all turns that are followed by a tool call or sub-agents. */
 constexpr double LoopingProgramShare = 0.06;
 constexpr double StoredTurnShare = 0.6;
+/** Fraction of programs that have stored turns and others. */
+constexpr double MixedTurnsShare = 0.2;
 constexpr double ToolShare = 0.6;
 constexpr double SubAgentShare = 0.15;
 constexpr double SlowShare = 0.2;
@@ -218,6 +220,7 @@
     program.turns = isLooping ? LoopingProgramTurns : 1 + static_cast<int>(m_random() % 7);
     program.budget = MaxTokensPerTurn * (isLooping ? 3 : 2 + program.turns);
     program.storesTurns = randomFraction() < StoredTurnShare;
+    program.mixesTurns = randomFraction() < MixedTurnsShare;
 }
 
 void Callers::continueConversations()
@@ -365,13 +368,15 @@
 asio::awaitable<bool> Callers::runConversation(Program program, std::string session,
                                                std::string previous, int turns)
 {
+    std::string latestStored = previous;
     for (int turn = 0; turn < turns; ++turn) {
+        const bool isStored = program.mixesTurns ? randomFraction() < 0.5 : program.storesTurns;
         Attempt attempt;
-        attempt.kind = program.storesTurns ? CallKind::StoredTurn : CallKind::ResumableStream;
+        attempt.kind = isStored ? CallKind::StoredTurn : CallKind::ResumableStream;
         attempt.program = program.id;
         attempt.budget = program.budget;
         attempt.maxTokens = MaxTokensPerTurn;
-        attempt.previousTurn = program.storesTurns ? previous : "";
+        attempt.previousTurn = isStored ? latestStored : "";
         attempt.input = std::string(200 + m_random() % 6'000, static_cast<char>('a' + turn % 26));
         attempt.key = program.key;
         const std::vector<HttpField> fields = turnFields(session, attempt);
@@ -380,7 +385,8 @@
         if (previous.empty()) {
             co_return false;
         }
-        if (program.storesTurns) {
+        if (isStored) {
+            latestStored = previous;
             m_latestTurns[program.organisation] = previous;
             m_conversations[program.id] = {program, session, previous, m_clock.now()};
         }
@@ -399,7 +405,7 @@
             co_await callWithRetries(tool, toolTarget, toolFields);
         }
         if (randomFraction() < SubAgentShare) {
-            asio::co_spawn(m_context, runConversation(program, nextId("session"), previous, 2),
+            asio::co_spawn(m_context, runConversation(program, nextId("session"), latestStored, 2),
                            [](const std::exception_ptr &, bool) {});
         }
     }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -57,6 +57,8 @@
         std::int64_t budget = 0;
         int turns = 0;
         bool storesTurns = false;
+        /** Each of its turns is of one kind or the other. */
+        bool mixesTurns = false;
         /** Its budget is as large as its turns, and it pauses between them. */
         bool usesMostOfBudget = false;
     };
