A turn that waits for the end of a promise looks whether the store is back

A turn that may not be lent for yet waited until the promise was over, up to 5 s, also if the store was back before. It looks every 100 ms. ATurnThatWaitsGoesOnOnceTheStoreIsBack.

--- a/control/budget_grants.cpp
+++ b/control/budget_grants.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds IdleGrantTimeout{500};
 /** A turn waits this long for the store before it gets a loan. */
 constexpr Milliseconds LoanDelay{100};
+/** A turn that waits until more may be lent looks this often whether the store is back. */
+constexpr Milliseconds LoanRetryInterval{100};
 /** Time after a turn's deadline for its settlement to arrive. */
 constexpr Milliseconds SettlementMargin{10'000};
 
@@ -251,7 +253,9 @@
     }
     if (!grant.retryScheduled) {
         grant.retryScheduled = true;
-        m_timers.after(*oneTurnLimit + Milliseconds(1), [this, program] {
+        const Duration delay =
+            std::min<Duration>(*oneTurnLimit + Milliseconds(1), LoanRetryInterval);
+        m_timers.after(delay, [this, program] {
             const auto found = m_grants.find(program);
             if (found != m_grants.end()) {
                 found->second.retryScheduled = false;
--- a/tests/control/stored_turn_budgets_test.cpp
+++ b/tests/control/stored_turn_budgets_test.cpp
@@ -271,4 +271,27 @@
     }
 }
 
+// The store was back long before the promise was over, and the turn went on waiting.
+TEST(LendingPromises, ATurnThatWaitsGoesOnOnceTheStoreIsBack)
+{
+    LendingFleet fleet(3);
+    fleet.storeTurns();
+    fleet.setStoreAway(true);
+    const std::size_t lender = fleet.lenderOf("p");
+    ASSERT_EQ(fleet.reserve(lender, "p"), ReservationResult::Granted);
+    fleet.settle(lender, "p", 200);
+    std::optional<ReservationResult> result;
+    ReservationRequest request{ProgramId("p"), AttemptId("next"), Budget, MaxTurnTokens};
+    request.mayBorrow = true;
+    fleet.vm(lender).grants.reserve(request, fleet.clock.now() + Seconds(4),
+                                    [&](ReservationResult answer) { result = answer; });
+    fleet.timers.run(Milliseconds(300));
+    EXPECT_EQ(result, std::nullopt);
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+        fleet.vm(vm).store.isAway = false;
+    }
+    fleet.timers.run(Milliseconds(1'200));
+    EXPECT_EQ(result, ReservationResult::Granted);
+}
+
 } // namespace boragepath
