--- a/control/ledger_relay.cpp
+++ b/control/ledger_relay.cpp
@@ -217,7 +217,7 @@
     PendingSettlement &settlement = found->second;
     const bool isReplaced = m_vms.isReplaced(settlement.to.incarnation);
     if (isReplaced || (settlement.attempts > 0 && isLost(settlement.to))) {
-        const peers::LedgerNote note = std::move(settlement.note);
+        const peers::LedgerNote note = settlement.note;
         m_settlements.erase(found);
         settleInRow({ProgramId(note.program), AttemptId(note.turn), note.tokens}, false);
         return;
--- a/control/program_ledger.h
+++ b/control/program_ledger.h
@@ -75,9 +75,9 @@
     /** The turn can end without the store, so that its tokens may be lent. */
     bool mayBorrow = false;
     /** For a grant: the turns that get reservations of their own, of the tokens of the grant. */
-    std::vector<GrantedTurn> grantedTurns;
+    std::vector<GrantedTurn> grantedTurns = {};
     /** For a grant: turns with such reservations that have ended, under their ids in the row. */
-    std::vector<TurnSettlement> endedTurns;
+    std::vector<TurnSettlement> endedTurns = {};
 };
 
 /** How much of a program's budget a VM may reserve. */
